Build skeleton, base library and design page

The tree has one static library and one test program per module, a compiler cache, formatter and linter checks, and the base types: strong ids, the closed list of error kinds with its answer table, and the JSON reader that names paths.

QHttpServer was ruled out for operator pages too: one HTTP implementation on Boost.Beast's parser serves all of them. CapnProtoConfig.cmake of Debian 12 fails on a C++-only project (its libatomic check is not valid C++), so capnp and kj are found by name.

--- /dev/null
+++ b/include/filberthub/base/strong.hpp
@@ -0,0 +1,106 @@
+// Strong types for identifiers and quantities.
+//
+// A `strong_name` wraps a string and a `strong_number` wraps an integer, so
+// that an instance id cannot be passed where a service id is expected:
+//
+//     using service_id = strong_name<struct service_tag>;
+//     service_id id("kartlas");
+
+#ifndef FILBERTHUB_BASE_STRONG_HPP
+#define FILBERTHUB_BASE_STRONG_HPP
+
+#include <compare>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace filberthub {
+
+// A string that identifies one kind of thing. It is ordered and hashable.
+template <class Tag>
+class strong_name
+{
+public:
+    strong_name() = default;
+    explicit strong_name(std::string value) : value_(std::move(value)) {}
+
+    const std::string& value() const
+    {
+        return value_;
+    }
+
+    bool empty() const
+    {
+        return value_.empty();
+    }
+
+    auto operator<=>(const strong_name&) const = default;
+
+private:
+    std::string value_;
+};
+
+// An integer with a unit or a meaning of its own. It is ordered and hashable;
+// arithmetic goes through `value()`.
+template <class Tag, class Rep>
+class strong_number
+{
+public:
+    using rep = Rep;
+
+    constexpr strong_number() = default;
+    constexpr explicit strong_number(Rep value) : value_(value) {}
+
+    constexpr Rep value() const
+    {
+        return value_;
+    }
+
+    // Returns the number that follows this one.
+    constexpr strong_number next() const
+    {
+        return strong_number(value_ + 1);
+    }
+
+    constexpr auto operator<=>(const strong_number&) const = default;
+
+private:
+    Rep value_{};
+};
+
+template <class Tag>
+std::ostream& operator<<(std::ostream& stream, const strong_name<Tag>& name)
+{
+    return stream << name.value();
+}
+
+template <class Tag, class Rep>
+std::ostream& operator<<(
+    std::ostream& stream, const strong_number<Tag, Rep>& number)
+{
+    return stream << +number.value();
+}
+
+} // namespace filberthub
+
+template <class Tag>
+struct std::hash<filberthub::strong_name<Tag>>
+{
+    std::size_t operator()(const filberthub::strong_name<Tag>& name) const
+    {
+        return std::hash<std::string>()(name.value());
+    }
+};
+
+template <class Tag, class Rep>
+struct std::hash<filberthub::strong_number<Tag, Rep>>
+{
+    std::size_t operator()(
+        const filberthub::strong_number<Tag, Rep>& number) const
+    {
+        return std::hash<Rep>()(number.value());
+    }
+};
+
+#endif
--- /dev/null
+++ b/include/filberthub/base/types.hpp
@@ -0,0 +1,81 @@
+// The identifiers, quantities and time types which all libraries share.
+//
+// No library of the core reads a clock. The present time is an argument:
+//
+//     bool held = lease.held(now);
+
+#ifndef FILBERTHUB_BASE_TYPES_HPP
+#define FILBERTHUB_BASE_TYPES_HPP
+
+#include <filberthub/base/strong.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string_view>
+
+namespace filberthub {
+
+// Time of the local monotonic clock. Values of two instances are never
+// compared; only intervals are.
+using time_point = std::chrono::time_point<std::chrono::steady_clock,
+    std::chrono::nanoseconds>;
+using duration = std::chrono::nanoseconds;
+using std::chrono::milliseconds;
+
+// One process of filberthub.
+using instance_id = strong_name<struct instance_id_tag>;
+// One server behind filberthub.
+using backend_server_id = strong_name<struct backend_server_id_tag>;
+// A set of instances and backend servers which can fail together.
+using failure_domain_id = strong_name<struct failure_domain_id_tag>;
+// A service of a deployment, such as "kartlas".
+using service_id = strong_name<struct service_id_tag>;
+// A part of the policy document that one team owns.
+using section_id = strong_name<struct section_id_tag>;
+// The id that a caller gives to a request, the same for each repeat of it.
+using request_id = strong_name<struct request_id_tag>;
+
+// Index of a group of keys of one service.
+using key_group = strong_number<struct key_group_tag, std::uint32_t>;
+// Number that grows with each grant; servers refuse work with a lower one.
+using fencing_token = strong_number<struct fencing_token_tag, std::uint64_t>;
+// Number of an accepted state of the policy document.
+using revision = strong_number<struct revision_tag, std::uint64_t>;
+// Version of an object in the platform's store. 0 means "does not exist".
+using object_version = strong_number<struct object_version_tag, std::uint64_t>;
+// Counts the starts of an instance; each one joins under a new incarnation.
+using incarnation = strong_number<struct incarnation_tag, std::uint64_t>;
+
+// Order in which waiting requests are admitted, first to last.
+enum class priority : std::uint8_t
+{
+    rescue,
+    interactive,
+    edit,
+    bulk
+};
+inline constexpr std::size_t priority_count = 4;
+
+// Returns the name used in headers and settings, such as "rescue".
+std::string_view to_string(priority value);
+
+// Reads the name of a priority class. Throws `error` of kind `bad_request` if
+// there is no such class.
+priority priority_from_string(std::string_view text);
+
+// Addresses of a listener: an IP number and a TCP port.
+struct endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const endpoint&) const = default;
+};
+
+// Reads "127.0.0.1:8080". Throws `error` of kind `bad_settings`.
+endpoint endpoint_from_string(std::string_view text);
+std::string to_string(const endpoint& value);
+
+} // namespace filberthub
+
+#endif
--- /dev/null
+++ b/src/base/json_reader.cpp
@@ -0,0 +1,144 @@
+#include <filberthub/base/json_reader.hpp>
+
+namespace filberthub {
+
+json parse_json(std::string_view text, error_kind kind)
+{
+    try {
+        return json::parse(text);
+    } catch (const json::parse_error& failure) {
+        throw error(kind, std::string("not valid JSON: ") + failure.what());
+    }
+}
+
+json_reader::json_reader(const json& object, error_kind kind, std::string path)
+    : object_(&object), kind_(kind), path_(std::move(path))
+{
+    if (!object.is_object()) {
+        throw error(kind_,
+            "field \"" + path_ + "\": " + object.dump() + " is not an object");
+    }
+}
+
+bool json_reader::has(const std::string& field) const
+{
+    return object_->contains(field);
+}
+
+std::string json_reader::string(const std::string& field)
+{
+    const json& seen = value(field);
+    if (!seen.is_string())
+        fail(field, seen.dump() + " is not a string");
+    return seen.get<std::string>();
+}
+
+std::string json_reader::string_or(
+    const std::string& field, std::string fallback)
+{
+    return find(field) == nullptr ? std::move(fallback) : string(field);
+}
+
+std::int64_t json_reader::integer(
+    const std::string& field, std::int64_t minimum, std::int64_t maximum)
+{
+    const json& seen = value(field);
+    if (!seen.is_number_integer())
+        fail(field, seen.dump() + " is not an integer");
+    if (seen.is_number_unsigned() &&
+        seen.get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX))
+        fail(field, seen.dump() + " is above the maximum");
+    const auto number = seen.get<std::int64_t>();
+    if (number < minimum) {
+        fail(field, std::to_string(number) + " is below the minimum " +
+                        std::to_string(minimum));
+    }
+    if (number > maximum) {
+        fail(field, std::to_string(number) + " is above the maximum " +
+                        std::to_string(maximum));
+    }
+    return number;
+}
+
+std::int64_t json_reader::integer_or(const std::string& field,
+    std::int64_t minimum, std::int64_t maximum, std::int64_t fallback)
+{
+    return find(field) == nullptr ? fallback : integer(field, minimum, maximum);
+}
+
+bool json_reader::boolean_or(const std::string& field, bool fallback)
+{
+    const json* seen = find(field);
+    if (seen == nullptr)
+        return fallback;
+    if (!seen->is_boolean())
+        fail(field, seen->dump() + " is neither true nor false");
+    return seen->get<bool>();
+}
+
+json_reader json_reader::object(const std::string& field)
+{
+    return json_reader(value(field), kind_, path_ + "/" + field);
+}
+
+std::vector<json_reader> json_reader::objects(const std::string& field)
+{
+    std::vector<json_reader> result;
+    const json* seen = find(field);
+    if (seen == nullptr)
+        return result;
+    if (!seen->is_array())
+        fail(field, seen->dump() + " is not an array");
+    for (std::size_t index = 0; index < seen->size(); ++index) {
+        result.emplace_back((*seen)[index], kind_,
+            path_ + "/" + field + "/" + std::to_string(index));
+    }
+    return result;
+}
+
+std::vector<std::string> json_reader::strings(const std::string& field)
+{
+    std::vector<std::string> result;
+    const json* seen = find(field);
+    if (seen == nullptr)
+        return result;
+    if (!seen->is_array())
+        fail(field, seen->dump() + " is not an array");
+    for (const json& item : *seen) {
+        if (!item.is_string())
+            fail(field, item.dump() + " is not a string");
+        result.push_back(item.get<std::string>());
+    }
+    return result;
+}
+
+const json& json_reader::value(const std::string& field)
+{
+    const json* seen = find(field);
+    if (seen == nullptr)
+        fail(field, "it is missing");
+    return *seen;
+}
+
+void json_reader::finish() const
+{
+    for (const auto& item : object_->items()) {
+        if (!known_.contains(item.key()))
+            fail(item.key(), "there is no such field");
+    }
+}
+
+void json_reader::fail(
+    const std::string& field, const std::string& message) const
+{
+    throw error(kind_, "field \"" + path_ + "/" + field + "\": " + message);
+}
+
+const json* json_reader::find(const std::string& field)
+{
+    known_.insert(field);
+    const auto found = object_->find(field);
+    return found == object_->end() ? nullptr : &*found;
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/test/base/error_test.cpp
@@ -0,0 +1,39 @@
+#include <filberthub/base/error.hpp>
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace filberthub {
+namespace {
+
+// Guards against a row at the wrong place, which would answer with the status
+// of another kind.
+TEST(AnswerTable, HasEachKindAtItsOwnNumber)
+{
+    std::set<std::string_view> names;
+    for (std::size_t number = 0; number < error_kind_count; ++number) {
+        const auto kind = static_cast<error_kind>(number);
+        EXPECT_EQ(answer_for(kind).kind, kind);
+        names.insert(answer_for(kind).name);
+    }
+    EXPECT_EQ(names.size(), error_kind_count);
+}
+
+// Guards against "not run" for an error that can follow the first byte to a
+// backend server.
+TEST(AnswerTable, SaysUnknownForErrorsAfterTheFirstByte)
+{
+    for (const error_kind kind : {error_kind::outcome_unknown,
+             error_kind::bad_backend_answer, error_kind::cancelled,
+             error_kind::internal, error_kind::bad_peer_message})
+        EXPECT_EQ(answer_for(kind).result, outcome::unknown);
+}
+
+TEST(ErrorKind, BecomesInternalWhenTheNumberIsUnknown)
+{
+    EXPECT_EQ(error_kind_from_number(200), error_kind::internal);
+}
+
+} // namespace
+} // namespace filberthub
