Add the HTTP codec, listener and client

QHttpServer of Qt 6.4.2 dies when a caller closes before a deferred answer and writes pipelined answers in order of completion; QNetworkAccessManager repeats GETs by itself. Both are replaced by Boost.Beast's parser on Qt sockets.

The decoders refuse message shapes on which two parsers can disagree, and answers whose end cannot be proved.

--- a/cmake/filberthub.cmake
+++ b/cmake/filberthub.cmake
@@ -35,7 +35,13 @@
     target_include_directories(${name}_test PRIVATE
         ${PROJECT_SOURCE_DIR}/test)
     target_link_libraries(${name}_test PRIVATE
-        ${ARGN} GTest::gmock GTest::gtest_main ${RAPIDCHECK_LIBRARY})
+        ${ARGN} GTest::gmock ${RAPIDCHECK_LIBRARY})
+    # A folder with a main of its own needs the Qt event loop.
+    if(EXISTS ${PROJECT_SOURCE_DIR}/test/${name}/main.cpp)
+        target_link_libraries(${name}_test PRIVATE GTest::gtest)
+    else()
+        target_link_libraries(${name}_test PRIVATE GTest::gtest_main)
+    endif()
     target_compile_definitions(${name}_test PRIVATE
         FILBERTHUB_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
         FILBERTHUB_BINARY_DIR="${PROJECT_BINARY_DIR}")
--- /dev/null
+++ b/include/filberthub/http/message.hpp
@@ -0,0 +1,86 @@
+// HTTP/1.1 messages as plain values.
+//
+//     http_request request;
+//     request.method = "GET";
+//     request.target = "/kartlas/floor?map=7";
+//     request.headers.set("Filberthub-Key", "home-7");
+
+#ifndef FILBERTHUB_HTTP_MESSAGE_HPP
+#define FILBERTHUB_HTTP_MESSAGE_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace filberthub {
+
+// The header fields of a message in the order of their arrival. Names compare
+// without regard to case.
+class http_headers
+{
+public:
+    struct field
+    {
+        std::string name;
+        std::string value;
+    };
+
+    // Returns the value of the first field with this name.
+    std::optional<std::string_view> get(std::string_view name) const;
+
+    // Replaces every field with this name by one.
+    void set(std::string_view name, std::string_view value);
+
+    // Adds a field, also if the name exists already.
+    void add(std::string_view name, std::string_view value);
+
+    void remove(std::string_view name);
+
+    const std::vector<field>& fields() const
+    {
+        return fields_;
+    }
+
+    void reserve(std::size_t count)
+    {
+        fields_.reserve(count);
+    }
+
+private:
+    std::vector<field> fields_;
+};
+
+// Returns whether two header names are the same without regard to case.
+bool same_header_name(std::string_view left, std::string_view right);
+
+struct http_request
+{
+    std::string method = "GET";
+    std::string target = "/";
+    http_headers headers;
+    std::string body;
+    // Whether the connection stays open after the answer.
+    bool keep_alive = true;
+};
+
+struct http_response
+{
+    int status = 200;
+    http_headers headers;
+    std::string body;
+    bool keep_alive = true;
+};
+
+// Removes the fields that belong to one connection (RFC 9110, 7.6.1) and the
+// length fields, which the encoder writes itself.
+void remove_hop_by_hop_fields(http_headers& headers);
+
+// Returns the bytes of the message, with a Content-Length field. Throws `error`
+// of kind `bad_request` if a header contains CR, LF or NUL.
+std::string encode(const http_request& request);
+std::string encode(const http_response& response);
+
+} // namespace filberthub
+
+#endif
--- /dev/null
+++ b/src/http/decoder.cpp
@@ -0,0 +1,315 @@
+#include <filberthub/base/error.hpp>
+#include <filberthub/http/decoder.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace filberthub {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+std::string_view view_of(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+// Returns the length of the head with its empty line, or nothing if the end has
+// not arrived.
+std::optional<std::size_t> head_length(std::string_view bytes)
+{
+    const std::size_t end = bytes.find("\r\n\r\n");
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    return end + 4;
+}
+
+// Refuses line endings and foldings that other parsers read differently.
+void check_lines(std::string_view head, error_kind kind)
+{
+    for (std::size_t at = head.find('\n'); at != std::string_view::npos;
+         at = head.find('\n', at + 1)) {
+        if (at == 0 || head[at - 1] != '\r')
+            throw error(kind, "the head contains a bare LF");
+        if (at + 1 < head.size() &&
+            (head[at + 1] == ' ' || head[at + 1] == '\t'))
+            throw error(kind, "the head contains a folded line");
+    }
+    if (head.find('\0') != std::string_view::npos)
+        throw error(kind, "the head contains a NUL");
+}
+
+// Refuses a message whose length two parsers may read differently.
+void check_length_fields(const http_headers& headers, error_kind kind)
+{
+    int lengths = 0;
+    int codings = 0;
+    for (const http_headers::field& item : headers.fields()) {
+        if (same_header_name(item.name, "Content-Length"))
+            ++lengths;
+        if (same_header_name(item.name, "Transfer-Encoding")) {
+            ++codings;
+            if (!same_header_name(item.value, "chunked")) {
+                throw error(kind,
+                    "transfer coding \"" + item.value + "\" is not chunked");
+            }
+        }
+    }
+    if (lengths + codings > 1) {
+        throw error(kind,
+            "the head has " + std::to_string(lengths) + " Content-Length and " +
+                std::to_string(codings) +
+                " Transfer-Encoding fields, expected at most one of them");
+    }
+}
+
+template <class Message>
+http_headers copy_headers(const Message& message)
+{
+    http_headers headers;
+    headers.reserve(16);
+    for (const auto& item : message)
+        headers.add(view_of(item.name_string()), view_of(item.value()));
+    return headers;
+}
+
+// Feeds `input` to `parser` and removes what it consumed.
+template <class Parser>
+boost::beast::error_code put(Parser& parser, std::string& input)
+{
+    std::size_t consumed = 0;
+    boost::beast::error_code code;
+    while (consumed < input.size() && !parser.is_done()) {
+        const std::size_t step =
+            parser.put(boost::asio::buffer(
+                           input.data() + consumed, input.size() - consumed),
+                code);
+        consumed += step;
+        if (code == beast_http::error::need_more) {
+            code = {};
+            break;
+        }
+        if (code || step == 0)
+            break;
+    }
+    input.erase(0, consumed);
+    return code;
+}
+
+} // namespace
+
+struct request_decoder::state
+{
+    using parser_type = beast_http::request_parser<beast_http::string_body>;
+
+    http_limits limits;
+    std::string input;
+    // Present from the end of a head to the end of its body.
+    std::optional<parser_type> parser;
+    bool expect_continue = false;
+
+    // Begins a request if its head is complete.
+    void begin()
+    {
+        const std::optional<std::size_t> length = head_length(input);
+        if (length.value_or(input.size()) > limits.head_bytes) {
+            throw error(error_kind::head_too_large,
+                "the head has more than " + std::to_string(limits.head_bytes) +
+                    " bytes");
+        }
+        if (!length) {
+            // A bare LF would otherwise wait for an end that never comes.
+            check_lines(input, error_kind::bad_request);
+            return;
+        }
+        check_lines(std::string_view(input).substr(0, *length),
+            error_kind::bad_request);
+        parser.emplace();
+        parser->eager(true);
+        parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+        parser->body_limit(limits.body_bytes);
+    }
+
+    void check(boost::beast::error_code code) const
+    {
+        if (!code)
+            return;
+        if (code == beast_http::error::body_limit) {
+            throw error(error_kind::body_too_large,
+                "the body has more than " + std::to_string(limits.body_bytes) +
+                    " bytes");
+        }
+        throw error(error_kind::bad_request,
+            "the request is not valid HTTP/1.1: " + code.message());
+    }
+};
+
+request_decoder::request_decoder(http_limits limits)
+    : state_(std::make_unique<state>())
+{
+    state_->limits = limits;
+}
+
+request_decoder::~request_decoder() = default;
+request_decoder::request_decoder(request_decoder&&) noexcept = default;
+request_decoder& request_decoder::operator=(
+    request_decoder&&) noexcept = default;
+
+void request_decoder::feed(std::string_view bytes)
+{
+    state_->input.append(bytes);
+}
+
+std::optional<http_request> request_decoder::next()
+{
+    state& self = *state_;
+    if (!self.parser) {
+        if (self.input.empty())
+            return std::nullopt;
+        self.begin();
+        if (!self.parser)
+            return std::nullopt;
+    }
+    const bool had_head = self.parser->is_header_done();
+    self.check(put(*self.parser, self.input));
+    if (!had_head && self.parser->is_header_done()) {
+        const auto& head = self.parser->get();
+        check_length_fields(copy_headers(head), error_kind::bad_request);
+        self.expect_continue =
+            view_of(head[beast_http::field::expect]) == "100-continue";
+    }
+    if (!self.parser->is_done())
+        return std::nullopt;
+
+    auto message = self.parser->release();
+    self.parser.reset();
+    self.expect_continue = false;
+    if (self.input.empty())
+        self.input.shrink_to_fit();
+    if (message.version() < 11 && message.version() != 10)
+        throw error(error_kind::bad_request, "the version is not HTTP/1.x");
+    http_request request;
+    request.method = std::string(view_of(message.method_string()));
+    request.target = std::string(view_of(message.target()));
+    request.headers = copy_headers(message);
+    request.keep_alive = message.keep_alive();
+    request.body = std::move(message.body());
+    return request;
+}
+
+bool request_decoder::in_message() const
+{
+    return state_->parser.has_value() || !state_->input.empty();
+}
+
+std::size_t request_decoder::buffered() const
+{
+    const std::size_t body =
+        state_->parser ? state_->parser->get().body().size() : 0;
+    return body + state_->input.size();
+}
+
+bool request_decoder::take_expect_continue()
+{
+    return std::exchange(state_->expect_continue, false);
+}
+
+struct response_decoder::state
+{
+    using parser_type = beast_http::response_parser<beast_http::string_body>;
+
+    http_limits limits;
+    std::string input;
+    std::optional<parser_type> parser;
+    bool head_checked = false;
+
+    void check_head(std::string_view head)
+    {
+        check_lines(head, error_kind::bad_backend_answer);
+        head_checked = true;
+    }
+};
+
+response_decoder::response_decoder(http_limits limits)
+    : state_(std::make_unique<state>())
+{
+    state_->limits = limits;
+}
+
+response_decoder::~response_decoder() = default;
+response_decoder::response_decoder(response_decoder&&) noexcept = default;
+response_decoder& response_decoder::operator=(
+    response_decoder&&) noexcept = default;
+
+void response_decoder::begin(bool head_request)
+{
+    state_->parser.emplace();
+    state_->parser->eager(true);
+    state_->parser->header_limit(
+        static_cast<std::uint32_t>(state_->limits.head_bytes));
+    state_->parser->body_limit(state_->limits.body_bytes);
+    if (head_request)
+        state_->parser->skip(true);
+    state_->head_checked = false;
+}
+
+void response_decoder::feed(std::string_view bytes)
+{
+    state_->input.append(bytes);
+}
+
+std::optional<http_response> response_decoder::next()
+{
+    state& self = *state_;
+    if (!self.parser || self.input.empty())
+        return std::nullopt;
+    if (!self.head_checked) {
+        const std::optional<std::size_t> length = head_length(self.input);
+        if (!length) {
+            if (self.input.size() > self.limits.head_bytes) {
+                throw error(error_kind::bad_backend_answer,
+                    "the head of the answer is too large");
+            }
+            return std::nullopt;
+        }
+        self.check_head(std::string_view(self.input).substr(0, *length));
+    }
+    const bool had_head = self.parser->is_header_done();
+    const boost::beast::error_code code = put(*self.parser, self.input);
+    if (code) {
+        throw error(error_kind::bad_backend_answer,
+            "the answer is not valid HTTP/1.1: " + code.message());
+    }
+    if (!had_head && self.parser->is_header_done()) {
+        check_length_fields(
+            copy_headers(self.parser->get()), error_kind::bad_backend_answer);
+        if (self.parser->need_eof()) {
+            throw error(error_kind::bad_backend_answer,
+                "the answer has neither a length nor chunks");
+        }
+    }
+    if (!self.parser->is_done())
+        return std::nullopt;
+
+    auto message = self.parser->release();
+    self.parser.reset();
+    http_response response;
+    response.status = static_cast<int>(message.result_int());
+    response.headers = copy_headers(message);
+    response.keep_alive = message.keep_alive();
+    response.body = std::move(message.body());
+    if (response.status < 200) {
+        throw error(error_kind::bad_backend_answer,
+            "the interim answer " + std::to_string(response.status) +
+                " was not asked for");
+    }
+    return response;
+}
+
+bool response_decoder::has_excess() const
+{
+    return !state_->parser && !state_->input.empty();
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/net/http_listener.cpp
@@ -0,0 +1,109 @@
+#include "net/http_connection.hpp"
+
+#include <filberthub/base/json_reader.hpp>
+#include <filberthub/net/http_listener.hpp>
+
+#include <QtCore/QTimer>
+#include <QtNetwork/QHostAddress>
+
+namespace filberthub {
+namespace {
+
+constexpr milliseconds sweep_interval{1000};
+constexpr int listen_backlog = 1024;
+
+} // namespace
+
+http_exchange::http_exchange(http_request request, http_connection* connection)
+    : request_(std::move(request)), connection_(connection)
+{}
+
+void http_exchange::respond(http_response response)
+{
+    if (response_)
+        return;
+    response_ = std::move(response);
+    cancelled_ = nullptr;
+    if (connection_ != nullptr)
+        connection_->write_ready_answers();
+}
+
+void http_exchange::on_cancelled(std::function<void()> callback)
+{
+    cancelled_ = std::move(callback);
+}
+
+http_listener::http_listener(
+    http_listener_options options, http_handler handler)
+    : options_(options), handler_(std::move(handler))
+{
+    setListenBacklogSize(listen_backlog);
+    auto* timer = new QTimer(this);
+    connect(timer, &QTimer::timeout, this, [this] { close_expired(); });
+    timer->start(sweep_interval);
+}
+
+http_listener::~http_listener()
+{
+    const std::unordered_set<http_connection*> open = std::move(connections_);
+    connections_.clear();
+    for (http_connection* connection : open)
+        delete connection;
+}
+
+void http_listener::listen(const endpoint& address)
+{
+    const QHostAddress host(QString::fromStdString(address.address));
+    if (host.isNull() || !QTcpServer::listen(host, address.port)) {
+        throw error(error_kind::bad_settings, "cannot listen on " +
+                                                  to_string(address) + ": " +
+                                                  errorString().toStdString());
+    }
+}
+
+endpoint http_listener::address() const
+{
+    return {serverAddress().toString().toStdString(), serverPort()};
+}
+
+void http_listener::begin_drain()
+{
+    draining_ = true;
+    close();
+}
+
+void http_listener::incomingConnection(qintptr descriptor)
+{
+    connections_.insert(new http_connection(*this, descriptor));
+}
+
+void http_listener::close_expired()
+{
+    const time_point now = std::chrono::steady_clock::now();
+    const std::unordered_set<http_connection*> open = connections_;
+    for (http_connection* connection : open) {
+        if (draining_)
+            connection->close_if_idle();
+        else
+            connection->close_if_expired(now);
+    }
+}
+
+http_response error_response(error_kind kind, std::string_view message)
+{
+    const answer_rule& rule = answer_for(kind);
+    http_response response;
+    response.status = rule.status;
+    response.headers.add("Content-Type", "application/json");
+    response.headers.add("Filberthub-Outcome", to_string(rule.result));
+    response.headers.add("Filberthub-Error", rule.name);
+    if (rule.status == 503)
+        response.headers.add("Retry-After", "1");
+    response.body = json{{"error", rule.name},
+        {"outcome", to_string(rule.result)},
+        {"message",
+            message}}.dump(-1, ' ', false, json::error_handler_t::replace);
+    return response;
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/test/http/decoder_test.cpp
@@ -0,0 +1,148 @@
+#include <filberthub/base/error.hpp>
+#include <filberthub/http/decoder.hpp>
+
+#include <gtest/gtest.h>
+
+namespace filberthub {
+namespace {
+
+std::optional<error_kind> request_error(const std::string& bytes)
+{
+    request_decoder decoder({.head_bytes = 1024, .body_bytes = 64});
+    try {
+        decoder.feed(bytes);
+        while (decoder.next())
+            continue;
+    } catch (const error& failure) {
+        return failure.kind();
+    }
+    return std::nullopt;
+}
+
+TEST(RequestDecoder, SplitsPipelinedRequestsFedByteByByte)
+{
+    const std::string bytes = "POST /kartskriv/room HTTP/1.1\r\n"
+                              "Host: a\r\nContent-Length: 3\r\n\r\nabc"
+                              "GET /kartlas/2 HTTP/1.1\r\nHost: a\r\n\r\n";
+    request_decoder decoder({});
+    std::vector<http_request> seen;
+    for (const char byte : bytes) {
+        decoder.feed(std::string_view(&byte, 1));
+        while (auto request = decoder.next())
+            seen.push_back(std::move(*request));
+    }
+    ASSERT_EQ(seen.size(), 2u);
+    EXPECT_EQ(seen[0].body, "abc");
+    EXPECT_EQ(seen[1].target, "/kartlas/2");
+    EXPECT_FALSE(decoder.in_message());
+}
+
+struct refused_request
+{
+    const char* name;
+    std::string bytes;
+    error_kind kind;
+};
+
+class RefusedRequests : public testing::TestWithParam<refused_request>
+{};
+
+// Guards against request smuggling and against unbounded buffers.
+TEST_P(RefusedRequests, GetTheirErrorKind)
+{
+    EXPECT_EQ(request_error(GetParam().bytes), GetParam().kind);
+}
+
+const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+
+INSTANTIATE_TEST_SUITE_P(Hostile, RefusedRequests,
+    testing::Values(
+        refused_request{"BothLengths",
+            head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            error_kind::bad_request},
+        refused_request{"ChunkedThenLength",
+            head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n"
+                   "0\r\n\r\n",
+            error_kind::bad_request},
+        refused_request{"DuplicateLengths",
+            head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            error_kind::bad_request},
+        refused_request{"SameLengthTwice",
+            head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            error_kind::bad_request},
+        refused_request{"BareLineFeed", "GET / HTTP/1.1\nHost: a\n\n",
+            error_kind::bad_request},
+        refused_request{
+            "FoldedLine", head + "X: a\r\n b\r\n\r\n", error_kind::bad_request},
+        refused_request{"UnknownCoding",
+            head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            error_kind::bad_request},
+        refused_request{"NegativeLength", head + "Content-Length: -1\r\n\r\n",
+            error_kind::bad_request},
+        refused_request{"Garbage", std::string(32, '\x01') + "\r\n\r\n",
+            error_kind::bad_request},
+        refused_request{"HugeHead", head + std::string(2000, 'x'),
+            error_kind::head_too_large},
+        refused_request{"HugeBody", head + "Content-Length: 65\r\n\r\n",
+            error_kind::body_too_large},
+        refused_request{"HugeChunk",
+            head + "Transfer-Encoding: chunked\r\n\r\nffffff\r\n" +
+                std::string(100, 'x'),
+            error_kind::body_too_large}),
+    [](const auto& row) { return std::string(row.param.name); });
+
+std::optional<error_kind> response_error(const std::string& bytes)
+{
+    response_decoder decoder({});
+    decoder.begin(false);
+    try {
+        decoder.feed(bytes);
+        decoder.next();
+    } catch (const error& failure) {
+        return failure.kind();
+    }
+    return std::nullopt;
+}
+
+TEST(ResponseDecoder, RefusesAnAnswerWhoseEndCannotBeProved)
+{
+    EXPECT_EQ(response_error("HTTP/1.1 200 OK\r\n\r\nabc"),
+        error_kind::bad_backend_answer);
+}
+
+TEST(ResponseDecoder, GivesNothingForATruncatedAnswer)
+{
+    response_decoder decoder({});
+    decoder.begin(false);
+    decoder.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    EXPECT_FALSE(decoder.next());
+}
+
+// Guards against taking the second answer for that of the next request.
+TEST(ResponseDecoder, ReportsExcessWhenTheServerAnswersTwice)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    response_decoder decoder({});
+    decoder.begin(false);
+    decoder.feed(answer + answer);
+    ASSERT_TRUE(decoder.next());
+    EXPECT_TRUE(decoder.has_excess());
+}
+
+TEST(ResponseDecoder, TakesNoBodyForAHeadRequest)
+{
+    response_decoder decoder({});
+    decoder.begin(true);
+    decoder.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+    EXPECT_TRUE(decoder.next());
+}
+
+TEST(HttpMessage, RefusesLineBreaksInHeaderValues)
+{
+    http_response response;
+    response.headers.add("X", "a\r\nSet-Cookie: b");
+    EXPECT_THROW(encode(response), error);
+}
+
+} // namespace
+} // namespace filberthub
