Add membership: fleet table, planner, lease, witnesses and takeover

The classes perform no I/O; the time is an argument.

Notices alone are no evidence: three witnesses can send one at different times, each before it hears from the member again. A successor therefore asks all witnesses in one round, and an answer counts if its silence reaches back by the expiry from the moment of the query. Witnesses that never ack a member again after a notice were ruled out, because a restart forgets the promise and three short link faults in the life of a process would end its lease.

A member that does not know a witness change yet needs only the old list, so evidence also needs majorities of both lists. The table keeps the old list until the member reports that both lists acknowledged the change.

Other additions: a place records the version of its append, so that a release is not taken for that of a later place; a member is a holder only after it held its lease; a new incarnation joins only after the old one lapsed; tokens use a version only after the witnesses acknowledged it, or a successor with an older table could present a lower token.

--- a/include/filberthub/base/strong.hpp
+++ b/include/filberthub/base/strong.hpp
@@ -35,6 +35,8 @@
         return value_.empty();
     }
 
+    // clang-tidy 14 takes the 0 of a generated comparison for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const strong_name&) const = default;
 
 private:
@@ -63,6 +65,7 @@
         return strong_number(value_ + 1);
     }
 
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     constexpr auto operator<=>(const strong_number&) const = default;
 
 private:
--- /dev/null
+++ b/include/filberthub/membership/member_lease.hpp
@@ -0,0 +1,145 @@
+// The lease of this instance as a member.
+//
+//     lease.adopt(table, now);
+//     if (auto message = lease.heartbeat_due(now)) send(lease.targets(), ...);
+//     lease.on_ack(ack, now);
+//     if (lease.held(now)) ...
+
+#ifndef FILBERTHUB_MEMBERSHIP_MEMBER_LEASE_HPP
+#define FILBERTHUB_MEMBERSHIP_MEMBER_LEASE_HPP
+
+#include <filberthub/membership/fleet_table.hpp>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace filberthub {
+
+using fleet_table_ptr = std::shared_ptr<const fleet_table>;
+
+// Guarantees that `held` is true only while a majority of the witnesses have
+// acknowledged a heartbeat that was sent less than 1,200 ms ago, and that it
+// stays false once it has become false after being true. While the witness
+// list changes, a majority of both lists is needed. A process that lapsed has
+// to join again with a new incarnation.
+template <class Rules = lease_rules>
+class basic_member_lease
+{
+public:
+    explicit basic_member_lease(member_key self) : self_(std::move(self)) {}
+
+    const member_key& self() const
+    {
+        return self_;
+    }
+
+    // To be called with each newer fleet table, before its version appears in
+    // a heartbeat. Ignores an older one. The lease ends if the table has had
+    // this incarnation and no longer has it.
+    void adopt(const fleet_table& table, time_point now);
+
+    // Returns the next heartbeat if it is due. The caller fills in `known` and
+    // sends it to `targets()` at once.
+    std::optional<heartbeat> heartbeat_due(time_point now);
+
+    // Returns the witnesses of both lists.
+    const std::vector<instance_id>& targets() const
+    {
+        return targets_;
+    }
+
+    void on_ack(const heartbeat_ack& ack, time_point now);
+
+    // For an instance without witnesses: a conditional update of the fleet
+    // table that started at `sent` has succeeded. Ignored if it has witnesses.
+    void on_store_commit(time_point sent, time_point now);
+
+    bool held(time_point now) const
+    {
+        return valid_until_ && !ended_ && now < *valid_until_;
+    }
+
+    // Whether the lease was held and is over for good. This instance then
+    // sends no work and no acks, and answers no queries.
+    bool lapsed(time_point now) const
+    {
+        return ended_ ||
+               (Rules::lapse_is_final && valid_until_ && now >= *valid_until_);
+    }
+
+    // Returns the end of the lease; empty if it was never held.
+    std::optional<time_point> valid_until() const
+    {
+        return valid_until_;
+    }
+
+    // Returns the latest end of a grant to a backend server; empty if the
+    // lease was never held.
+    std::optional<time_point> grants_until() const;
+
+    // Returns the sending time of a recent heartbeat, which bounds the age of
+    // what its ack says.
+    std::optional<time_point> sent_at(std::uint64_t number) const;
+
+    // Returns the newest fleet version that a majority of witnesses is known
+    // to have. Tokens use no newer one, so that a successor learns from the
+    // witnesses of every version that was used.
+    object_version acknowledged_fleet() const
+    {
+        return acknowledged_fleet_;
+    }
+
+    // Adds a server to the retired set, or removes it once a newer ownership
+    // table has replaced it.
+    void retire(const backend_server_id& server);
+    void restore(const backend_server_id& server);
+    // Whether a majority of witnesses has recorded that `server` is retired.
+    // Its groups may be served elsewhere from then on.
+    bool acknowledged(const backend_server_id& server) const;
+
+    // Gives the lease up. To be called last by an instance that leaves.
+    void depart();
+
+    // Returns what the planners have to know while the table lacks it.
+    std::optional<member_status> status() const;
+
+private:
+    struct witness_state
+    {
+        std::uint64_t number = 0;
+        object_version fleet;
+    };
+
+    template <class Field>
+    auto majority_value(Field field) const;
+    void extend(time_point until);
+
+    static constexpr std::size_t history_size = 16;
+
+    member_key self_;
+    object_version fleet_;
+    bool joined_ = false;
+    bool ended_ = false;
+    bool departed_ = false;
+    fleet_member record_;
+    std::vector<std::vector<instance_id>> lists_;
+    std::vector<instance_id> targets_;
+    std::map<instance_id, witness_state> witnesses_;
+    std::uint64_t next_number_ = 1;
+    std::array<time_point, history_size> sent_{};
+    std::optional<time_point> next_heartbeat_;
+    std::optional<time_point> valid_until_;
+    object_version acknowledged_fleet_;
+    // Number of the first heartbeat that carried the server.
+    std::map<backend_server_id, std::uint64_t> retired_;
+    std::uint64_t acknowledged_number_ = 0;
+};
+
+using member_lease = basic_member_lease<>;
+extern template class basic_member_lease<lease_rules>;
+
+} // namespace filberthub
+
+#endif
--- /dev/null
+++ b/src/membership/holder_planner.hpp
@@ -0,0 +1,54 @@
+// Assigns and balances the holder lists of a fleet plan.
+
+#ifndef FILBERTHUB_SRC_MEMBERSHIP_HOLDER_PLANNER_HPP
+#define FILBERTHUB_SRC_MEMBERSHIP_HOLDER_PLANNER_HPP
+
+#include <filberthub/membership/fleet_planner.hpp>
+
+#include <cstdint>
+#include <map>
+
+namespace filberthub::detail {
+
+using holder_lists = std::map<backend_server_id, holder_list>;
+
+// A member that may be put in holder lists, with its present load.
+struct candidate
+{
+    member_key key;
+    failure_domain_id domain;
+    // Servers for which it is first in line, and all its places.
+    std::size_t heads = 0;
+    std::size_t places = 0;
+};
+
+// Fills and balances lists over `candidates`.
+class holder_planner
+{
+public:
+    holder_planner(
+        std::vector<candidate> candidates, object_version next_version);
+
+    // Appends places until each list has `holder_list_target` of candidates.
+    void fill(holder_lists& lists);
+
+    // Appends a less loaded candidate to lists of overloaded holders, so that
+    // the role can move to it by releases.
+    void append_relief(holder_lists& lists);
+
+private:
+    std::size_t index_of(const member_key& key) const;
+    std::size_t choose(const backend_server_id& server,
+        const std::vector<std::size_t>& taken, bool head,
+        bool other_domains) const;
+    void append(holder_list& list, std::size_t index);
+
+    std::vector<candidate> candidates_;
+    std::map<member_key, std::size_t> indexes_;
+    std::vector<std::size_t> domains_;
+    object_version next_version_;
+};
+
+} // namespace filberthub::detail
+
+#endif
--- /dev/null
+++ b/src/membership/lapse_evidence_impl.hpp
@@ -0,0 +1,134 @@
+#ifndef FILBERTHUB_SRC_MEMBERSHIP_LAPSE_EVIDENCE_IMPL_HPP
+#define FILBERTHUB_SRC_MEMBERSHIP_LAPSE_EVIDENCE_IMPL_HPP
+
+#include <filberthub/membership/lapse_evidence.hpp>
+
+#include <algorithm>
+
+namespace filberthub {
+
+template <class Rules>
+void basic_lapse_evidence<Rules>::adopt(fleet_table_ptr table)
+{
+    if (table_ && table->version() <= table_->version())
+        return;
+    table_ = std::move(table);
+    const auto is_gone = [&](const auto& item) {
+        return table_->find(item.first) == nullptr;
+    };
+    std::erase_if(lapses_, is_gone);
+    std::erase_if(suspicions_, is_gone);
+    // Answers to an earlier round may come from witnesses that were replaced.
+    for (auto& [member, state] : suspicions_) {
+        state.round = 0;
+        state.answers.clear();
+    }
+}
+
+// Whether a majority of each witness list of `member` satisfies `contains`.
+template <class Rules>
+template <class Contains>
+bool basic_lapse_evidence<Rules>::has_majorities(
+    const fleet_member& member, Contains contains) const
+{
+    const auto has_majority = [&](const std::vector<instance_id>& list) {
+        const auto count = static_cast<std::size_t>(
+            std::count_if(list.begin(), list.end(), contains));
+        return count >= majority_of(list.size());
+    };
+    const bool old_list = !Rules::joint_lists || member.previous.empty() ||
+                          has_majority(member.previous);
+    return old_list && has_majority(member.witnesses);
+}
+
+template <class Rules>
+bool basic_lapse_evidence<Rules>::on_lease_expired(
+    const lease_expired& message, time_point now)
+{
+    const fleet_member* member =
+        table_ ? table_->find(message.member) : nullptr;
+    if (member == nullptr || lapses_.contains(message.member))
+        return false;
+    newest_seen_ = std::max(newest_seen_, message.fleet);
+    suspicion& state = suspicions_[message.member];
+    if (message.round == 0) {
+        state.notices[message.from.instance] = now;
+        return false;
+    }
+    if (message.to != self_ || message.round != state.round)
+        return false;
+    if (Rules::joint_lists && message.fleet > table_->version())
+        return false;
+    const duration elapsed = now - state.asked;
+    // The allowance for drift applies to the time since the query as well.
+    const duration needed = Rules::expiry + elapsed + elapsed / 50;
+    if (message.silence < needed)
+        return false;
+    state.answers[message.from.instance] = {message.fleet, message.retired};
+    if (!has_majorities(*member, [&](const instance_id& witness) {
+            return state.answers.contains(witness);
+        }))
+        return false;
+
+    lapse result;
+    for (const auto& [witness, item] : state.answers) {
+        result.fleet = std::max(result.fleet, item.fleet);
+        result.retired.insert(item.retired.begin(), item.retired.end());
+    }
+    lapses_.emplace(message.member, std::move(result));
+    suspicions_.erase(message.member);
+    return true;
+}
+
+template <class Rules>
+std::vector<outgoing<expiry_query>> basic_lapse_evidence<Rules>::queries_due(
+    time_point now)
+{
+    std::vector<outgoing<expiry_query>> result;
+    for (auto& item : suspicions_) {
+        const member_key& key = item.first;
+        suspicion& state = item.second;
+        // A notice counts until its next two repetitions are missing.
+        std::erase_if(state.notices, [&](const auto& notice) {
+            return now - notice.second > 2 * heartbeat_interval;
+        });
+        if (state.round != 0 && now - state.asked < query_interval)
+            continue;
+        const fleet_member* member = table_->find(key);
+        if (!has_majorities(*member, [&](const instance_id& witness) {
+                return state.notices.contains(witness);
+            }))
+            continue;
+        state.round = ++last_round_;
+        state.asked = now;
+        state.answers.clear();
+        std::set<instance_id> to(
+            member->witnesses.begin(), member->witnesses.end());
+        to.insert(member->previous.begin(), member->previous.end());
+        result.push_back(
+            {{to.begin(), to.end()}, expiry_query{self_, key, state.round}});
+    }
+    std::erase_if(suspicions_,
+        [](const auto& item) { return item.second.notices.empty(); });
+    return result;
+}
+
+template <class Rules>
+const lapse* basic_lapse_evidence<Rules>::find(const member_key& member) const
+{
+    const auto found = lapses_.find(member);
+    return found == lapses_.end() ? nullptr : &found->second;
+}
+
+template <class Rules>
+std::set<member_key> basic_lapse_evidence<Rules>::lapsed() const
+{
+    std::set<member_key> result;
+    for (const auto& item : lapses_)
+        result.insert(item.first);
+    return result;
+}
+
+} // namespace filberthub
+
+#endif
--- /dev/null
+++ b/src/membership/witness_ledger_impl.hpp
@@ -0,0 +1,209 @@
+#ifndef FILBERTHUB_SRC_MEMBERSHIP_WITNESS_LEDGER_IMPL_HPP
+#define FILBERTHUB_SRC_MEMBERSHIP_WITNESS_LEDGER_IMPL_HPP
+
+#include <filberthub/membership/witness_ledger.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace filberthub {
+
+template <class Rules>
+void basic_witness_ledger<Rules>::adopt(fleet_table_ptr table, time_point now)
+{
+    if (table_ && table->version() <= table_->version())
+        return;
+    table_ = std::move(table);
+    const instance_id& self = own_->self().instance;
+    listed_ = table_->find(own_->self()) != nullptr;
+
+    std::unordered_map<member_key, record> kept;
+    for (const fleet_member& member : table_->members()) {
+        const auto names_self = [&](const std::vector<instance_id>& list) {
+            return std::find(list.begin(), list.end(), self) != list.end();
+        };
+        if (!names_self(member.witnesses) && !names_self(member.previous))
+            continue;
+        const auto found = records_.find(member.key);
+        if (found != records_.end()) {
+            kept.emplace(member.key, std::move(found->second));
+            records_.erase(found);
+            continue;
+        }
+        // An earlier process may have sent an ack until just before this one
+        // was listed, so silence counts from now.
+        record fresh;
+        fresh.silent_since = now - (witness_expiry - Rules::warm_up);
+        kept.emplace(member.key, std::move(fresh));
+    }
+    for (auto& [member, entry] : records_) {
+        if (!entry.intents.empty() || !entry.retired.empty())
+            former_.emplace_back(member, std::move(entry));
+    }
+    while (former_.size() > former_member_limit)
+        former_.pop_front();
+    records_ = std::move(kept);
+}
+
+template <class Rules>
+auto basic_witness_ledger<Rules>::find_record(const member_key& member) const
+    -> const record*
+{
+    const auto found = records_.find(member);
+    if (found != records_.end())
+        return &found->second;
+    for (const auto& [key, entry] : former_) {
+        if (key == member)
+            return &entry;
+    }
+    return nullptr;
+}
+
+template <class Rules>
+bool basic_witness_ledger<Rules>::may_speak(time_point now) const
+{
+    return listed_ && !own_->lapsed(now) && now >= started_ + Rules::warm_up;
+}
+
+template <class Rules>
+std::optional<heartbeat_ack> basic_witness_ledger<Rules>::on_heartbeat(
+    const heartbeat& message, time_point now)
+{
+    if (!may_speak(now))
+        return std::nullopt;
+    const auto found = records_.find(message.from);
+    if (found == records_.end())
+        return std::nullopt;
+    if (message.retired.size() > retired_per_member)
+        return std::nullopt;
+    record& entry = found->second;
+    entry.silent_since = now;
+    entry.next_notice.reset();
+    if (message.number > entry.newest) {
+        entry.newest = message.number;
+        entry.retired = message.retired;
+    }
+
+    heartbeat_ack ack;
+    ack.from = own_->self();
+    ack.to = message.from;
+    ack.number = message.number;
+    ack.fleet = table_->version();
+    return ack;
+}
+
+template <class Rules>
+lease_expired basic_witness_ledger<Rules>::statement(
+    const member_key& member, const record& entry, time_point now) const
+{
+    lease_expired result;
+    result.from = own_->self();
+    result.member = member;
+    result.silence = now - entry.silent_since;
+    result.fleet = table_->version();
+    result.retired = entry.retired;
+    return result;
+}
+
+template <class Rules>
+std::optional<lease_expired> basic_witness_ledger<Rules>::on_query(
+    const expiry_query& query, time_point now)
+{
+    if (!may_speak(now))
+        return std::nullopt;
+    const auto found = records_.find(query.member);
+    if (found == records_.end() || !expired(found->second, now))
+        return std::nullopt;
+    lease_expired result = statement(query.member, found->second, now);
+    result.to = query.from;
+    result.round = query.round;
+    return result;
+}
+
+template <class Rules>
+std::vector<outgoing<lease_expired>> basic_witness_ledger<Rules>::notices_due(
+    time_point now)
+{
+    std::vector<outgoing<lease_expired>> result;
+    if (!may_speak(now))
+        return result;
+    for (auto& [member, entry] : records_) {
+        if (!expired(entry, now) ||
+            (entry.next_notice && now < *entry.next_notice))
+            continue;
+        entry.next_notice = now + heartbeat_interval;
+        result.push_back({recipients(member), statement(member, entry, now)});
+    }
+    return result;
+}
+
+// Returns the instances that share a holder list with `member`, and the
+// planners, which drop it from the table.
+template <class Rules>
+std::vector<instance_id> basic_witness_ledger<Rules>::recipients(
+    const member_key& member) const
+{
+    std::set<instance_id> found;
+    for (const auto& [server, list] : table_->servers()) {
+        const bool affected = std::any_of(list.entries.begin(),
+            list.entries.end(),
+            [&](const holder_entry& entry) { return entry.member == member; });
+        if (!affected)
+            continue;
+        for (const holder_entry& entry : list.entries)
+            found.insert(entry.member.instance);
+    }
+    std::size_t planners = 0;
+    for (const member_key& planner : table_->ranking()) {
+        if (planner == member)
+            continue;
+        found.insert(planner.instance);
+        if (++planners == planner_count)
+            break;
+    }
+    found.erase(member.instance);
+    return {found.begin(), found.end()};
+}
+
+template <class Rules>
+bool basic_witness_ledger<Rules>::record_intent(
+    const member_key& member, request_hash id, time_point now)
+{
+    const auto found = records_.find(member);
+    if (found == records_.end() || !may_speak(now))
+        return false;
+    std::deque<intent>& intents = found->second.intents;
+    while (!intents.empty() && now - intents.front().at >= intent_lifetime)
+        intents.pop_front();
+    if (intents.size() >= intents_per_member)
+        return false;
+    intents.push_back({now, id});
+    return true;
+}
+
+template <class Rules>
+std::vector<request_hash> basic_witness_ledger<Rules>::intents_of(
+    const member_key& member, time_point now) const
+{
+    std::vector<request_hash> result;
+    const record* found = find_record(member);
+    if (found == nullptr)
+        return result;
+    for (const intent& item : found->intents) {
+        if (now - item.at < intent_lifetime)
+            result.push_back(item.id);
+    }
+    return result;
+}
+
+template <class Rules>
+std::vector<backend_server_id> basic_witness_ledger<Rules>::retired_of(
+    const member_key& member) const
+{
+    const record* found = find_record(member);
+    return found == nullptr ? std::vector<backend_server_id>() : found->retired;
+}
+
+} // namespace filberthub
+
+#endif
