--- /dev/null
+++ b/test/attempt/at_most_once_test.cpp
@@ -0,0 +1,168 @@
+#include "at_most_once_model.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace filberthub {
+namespace {
+
+// Searches schedules of random events for a violation. Returns the number of
+// the first schedule that has one, or 0.
+template <class Rules>
+int first_violation(const model_options& options, int schedules)
+{
+    std::mt19937 engine(20261204);
+    for (int schedule = 1; schedule <= schedules; ++schedule) {
+        at_most_once_model<Rules> model(options);
+        for (int step = 0; step < 400; ++step) {
+            if (!model.step(static_cast<std::uint32_t>(engine())).empty())
+                return schedule;
+        }
+    }
+    return 0;
+}
+
+template <class Rules>
+void expect_violation(const std::string& name, const model_options& options)
+{
+    const int found = first_violation<Rules>(options, 20000);
+    EXPECT_GT(found, 0) << "no violation in 20000 schedules without " << name;
+    std::cout << "without " << name << ": schedule " << found << "\n";
+}
+
+// Guards against a second run of an edit, and against "not run" for one that
+// ran, under lost links, repeats, takeovers and witness restarts.
+RC_GTEST_PROP(AtMostOnce, HoldsWhenLinksHoldersAndWitnessesFail, ())
+{
+    const auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
+        250, rc::gen::arbitrary<std::uint32_t>());
+    at_most_once_model<strict_duplicate_rules> model({});
+    for (const std::uint32_t choice : steps) {
+        const std::string seen = model.step(choice);
+        if (!seen.empty())
+            RC_FAIL(seen);
+    }
+}
+
+TEST(AtMostOnce, HoldsInManySchedules)
+{
+    EXPECT_EQ(first_violation<strict_duplicate_rules>({}, 20000), 0);
+    model_options small;
+    small.max_entries = 1;
+    EXPECT_EQ(first_violation<strict_duplicate_rules>(small, 20000), 0);
+}
+
+// A former holder that does not notice the end of its lease is stopped by the
+// witnesses, as long as they do not restart.
+TEST(AtMostOnce, HoldsWithoutLeaseCheckWhenWitnessesStay)
+{
+    model_options options;
+    options.check_lease = false;
+    options.restart_witnesses = false;
+    EXPECT_EQ(first_violation<strict_duplicate_rules>(options, 20000), 0);
+}
+
+struct no_suppress_repeats : strict_duplicate_rules
+{
+    static constexpr bool suppress_repeats = false;
+};
+
+struct no_match_runs : strict_duplicate_rules
+{
+    static constexpr bool match_runs = false;
+};
+
+struct no_unknown_after_takeover : strict_duplicate_rules
+{
+    static constexpr bool unknown_after_takeover = false;
+};
+
+struct no_require_complete_logs : strict_duplicate_rules
+{
+    static constexpr bool require_complete_logs = false;
+};
+
+struct no_match_incarnations : strict_duplicate_rules
+{
+    static constexpr bool match_incarnations = false;
+};
+
+struct no_refuse_former_holders : strict_duplicate_rules
+{
+    static constexpr bool refuse_former_holders = false;
+};
+
+struct no_refuse_when_full : strict_duplicate_rules
+{
+    static constexpr bool refuse_when_full = false;
+};
+
+// Each test below switches one protection off. A schedule that shows the
+// difference has to exist, otherwise the tests above prove nothing about it.
+
+TEST(AtMostOnceWithout, SuppressionIsViolated)
+{
+    expect_violation<no_suppress_repeats>("suppression", {});
+}
+
+TEST(AtMostOnceWithout, MatchedRunsIsViolated)
+{
+    expect_violation<no_match_runs>("matched runs", {});
+}
+
+TEST(AtMostOnceWithout, UnknownAfterTakeoverIsViolated)
+{
+    expect_violation<no_unknown_after_takeover>("unknown after takeover", {});
+}
+
+TEST(AtMostOnceWithout, CompleteLogsIsViolated)
+{
+    expect_violation<no_require_complete_logs>("complete logs", {});
+}
+
+TEST(AtMostOnceWithout, MatchedIncarnationsIsViolated)
+{
+    expect_violation<no_match_incarnations>("matched incarnations", {});
+}
+
+TEST(AtMostOnceWithout, RefusalOfFormerHoldersIsViolated)
+{
+    model_options options;
+    options.check_lease = false;
+    options.restart_witnesses = false;
+    expect_violation<no_refuse_former_holders>(
+        "refusal of former holders", options);
+}
+
+TEST(AtMostOnceWithout, RefusalWhenFullIsViolated)
+{
+    model_options options;
+    options.max_entries = 1;
+    expect_violation<no_refuse_when_full>("refusal when full", options);
+}
+
+TEST(AtMostOnceWithout, QuorumIsViolated)
+{
+    model_options options;
+    options.wait_for_quorum = false;
+    expect_violation<strict_duplicate_rules>("quorum", options);
+}
+
+TEST(AtMostOnceWithout, LeaseCheckIsViolatedWhenWitnessesRestart)
+{
+    model_options options;
+    options.check_lease = false;
+    expect_violation<strict_duplicate_rules>("lease check", options);
+}
+
+TEST(AtMostOnceWithout, UnknownAfterLostLinkIsViolated)
+{
+    model_options options;
+    options.lost_is_unknown = false;
+    expect_violation<strict_duplicate_rules>("unknown after lost", options);
+}
+
+} // namespace
+} // namespace filberthub
