--- /dev/null
+++ b/src/telemetry/log.cpp
@@ -0,0 +1,115 @@
+#include <filberthub/base/error.hpp>
+#include <filberthub/telemetry/log.hpp>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/null_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace filberthub {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::string_view, 5> level_names = {
+    "trace", "debug", "info", "warn", "error"};
+constexpr std::array<std::string_view, 4> taken_names = {
+    "time", "level", "instance", "message"};
+
+spdlog::level::level_enum spdlog_level(log_level level)
+{
+    return static_cast<spdlog::level::level_enum>(level);
+}
+
+// Names and messages can hold bytes of a request, which may be no valid UTF-8.
+std::string json_text(std::string_view text)
+{
+    return json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string value_text(const log_field::value_type& value)
+{
+    return std::visit(
+        [](const auto& held) -> std::string {
+            using held_type = std::decay_t<decltype(held)>;
+            if constexpr (std::is_same_v<held_type, std::string_view>)
+                return json_text(held);
+            else
+                return json(held).dump();
+        },
+        value);
+}
+
+} // namespace
+
+log_level log_level_from_string(std::string_view text)
+{
+    const auto found = std::find(level_names.begin(), level_names.end(), text);
+    if (found == level_names.end()) {
+        throw error(error_kind::bad_settings,
+            "log level \"" + std::string(text) +
+                "\" is none of trace, debug, info, warn, error");
+    }
+    return static_cast<log_level>(found - level_names.begin());
+}
+
+spdlog::sink_ptr make_log_sink(const std::string& output)
+{
+    if (output == "off")
+        return std::make_shared<spdlog::sinks::null_sink_mt>();
+    if (output == "stdout")
+        return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    if (output == "stderr")
+        return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    try {
+        return std::make_shared<spdlog::sinks::basic_file_sink_mt>(output);
+    } catch (const spdlog::spdlog_ex& failure) {
+        throw error(error_kind::bad_settings,
+            "log output \"" + output + "\": " + failure.what());
+    }
+}
+
+void start_logging(
+    spdlog::sink_ptr sink, log_level minimum, std::string_view instance)
+{
+    auto logger =
+        std::make_shared<spdlog::logger>("filberthub", std::move(sink));
+    logger->set_level(spdlog_level(minimum));
+    logger->flush_on(spdlog::level::warn);
+    // A '%' begins a directive of the pattern.
+    std::string name;
+    for (const char letter : json_text(instance))
+        name += letter == '%' ? "%%" : std::string(1, letter);
+    logger->set_pattern(
+        "{\"time\":\"%Y-%m-%dT%H:%M:%S.%eZ\",\"instance\":" + name + ",%v}",
+        spdlog::pattern_time_type::utc);
+    spdlog::set_default_logger(std::move(logger));
+}
+
+void log_event(log_level level, std::string_view message,
+    std::initializer_list<log_field> fields)
+{
+    spdlog::logger* logger = spdlog::default_logger_raw();
+    if (!logger->should_log(spdlog_level(level)))
+        return;
+    std::string line = "\"level\":\"";
+    line += level_names.at(static_cast<std::size_t>(level));
+    line += "\",\"message\":" + json_text(message);
+    for (const log_field& field : fields) {
+        const bool is_taken = std::find(taken_names.begin(), taken_names.end(),
+                                  field.key()) != taken_names.end();
+        line += ',';
+        line +=
+            json_text((is_taken ? "field_" : "") + std::string(field.key()));
+        line += ':';
+        line += value_text(field.value());
+    }
+    logger->log(spdlog_level(level), spdlog::string_view_t(line));
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/test/telemetry/log_test.cpp
@@ -0,0 +1,74 @@
+#include <filberthub/base/error.hpp>
+#include <filberthub/telemetry/log.hpp>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <sstream>
+
+namespace filberthub {
+namespace {
+
+using nlohmann::json;
+
+class Log : public ::testing::Test
+{
+protected:
+    void start(log_level minimum, std::string_view instance)
+    {
+        start_logging(std::make_shared<spdlog::sinks::ostream_sink_mt>(text_),
+            minimum, instance);
+    }
+    void TearDown() override
+    {
+        start_logging(make_log_sink("off"), log_level::error, "");
+    }
+
+    std::ostringstream text_;
+};
+
+TEST_F(Log, WritesOneJsonLineWithAllFields)
+{
+    start(log_level::info, "se-mitt-1");
+    log_event(log_level::warn, "lease expired",
+        {{log_key::server, "kartlas-3"}, {log_key::revision, 7U},
+            {log_key::duration_ms, -1.5}, {"ok", true}});
+    const json line = json::parse(text_.str());
+    EXPECT_EQ(line["instance"], "se-mitt-1");
+    EXPECT_EQ(line["level"], "warn");
+    EXPECT_EQ(line["message"], "lease expired");
+    EXPECT_EQ(line["server"], "kartlas-3");
+    EXPECT_EQ(line["revision"], 7);
+    EXPECT_EQ(line["duration_ms"], -1.5);
+    EXPECT_EQ(line["ok"], true);
+    EXPECT_EQ(line["time"].get<std::string>().size(), 24U);
+}
+
+// Guards against lines that a request can forge or break.
+TEST_F(Log, EscapesWhatARequestCanContain)
+{
+    start(log_level::info, "%v\"");
+    log_event(log_level::info, "\"},\n{%v {} \xff",
+        {{"a\"b", "\n"}, {"level", "forged"}});
+    const std::string text = text_.str();
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 1);
+    const json line = json::parse(text);
+    EXPECT_EQ(line["instance"], "%v\"");
+    EXPECT_EQ(line["message"], "\"},\n{%v {} \xef\xbf\xbd");
+    EXPECT_EQ(line["a\"b"], "\n");
+    EXPECT_EQ(line["level"], "info");
+    EXPECT_EQ(line["field_level"], "forged");
+}
+
+TEST_F(Log, LeavesOutLinesBelowTheMinimum)
+{
+    start(log_level_from_string("warn"), "se-mitt-1");
+    log_event(log_level::info, "started");
+    EXPECT_EQ(text_.str(), "");
+    EXPECT_THROW(log_level_from_string("loud"), error);
+    EXPECT_THROW(make_log_sink("/proc/no/such/file"), error);
+}
+
+} // namespace
+} // namespace filberthub
