Add stand-ins of the platform and of backend servers

Tests and demos need an object store with lost replies, outages and rates, a lagging instance list, and backend servers with slots, cold start, fenced grants, drain, freeze and crashes. The decisions are in classes without I/O (tools/model); the programs only add HTTP and timers.

Timers use timerfd, because QTimer rounds to 1 ms, which is as long as the service times. http_exchange::abort and http_listener::abort_connections are new: a lost reply and a server that falls over close connections without an answer. QT_NO_KEYWORDS is set for the whole tree, because the macro `slots` of Qt replaces members of that name.

--- a/include/filberthub/net/http_listener.hpp
+++ b/include/filberthub/net/http_listener.hpp
@@ -47,6 +47,10 @@
     // answers of a connection are written in the order of its requests.
     void respond(http_response response);
 
+    // Closes the connection without an answer. To be called when the caller
+    // must learn nothing about the request.
+    void abort();
+
     // Sets what is called when the caller closes before it has its answer.
     void on_cancelled(std::function<void()> callback);
 
@@ -100,6 +104,10 @@
     // To be called when the process leaves.
     void begin_drain();
 
+    // Closes every connection without the missing answers. The listener goes
+    // on to accept new ones.
+    void abort_connections();
+
     bool draining() const
     {
         return draining_;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -149,6 +149,12 @@
         QTimer::singleShot(0, this, [this] { read_available(); });
 }
 
+void http_connection::abort()
+{
+    closing_ = true;
+    socket_->abort();
+}
+
 void http_connection::close_if_expired(time_point now)
 {
     if (!exchanges_.empty())
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -21,6 +21,9 @@
     // Writes the answers that are complete and first in order.
     void write_ready_answers();
 
+    // Closes the connection at once; answers that are missing are dropped.
+    void abort();
+
     // Closes the connection if it waited too long for the caller.
     void close_if_expired(time_point now);
 
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -28,6 +28,12 @@
         connection_->write_ready_answers();
 }
 
+void http_exchange::abort()
+{
+    if (connection_ != nullptr)
+        connection_->abort();
+}
+
 void http_exchange::on_cancelled(std::function<void()> callback)
 {
     cancelled_ = std::move(callback);
@@ -72,6 +78,13 @@
     close();
 }
 
+void http_listener::abort_connections()
+{
+    const std::unordered_set<http_connection*> open = connections_;
+    for (http_connection* connection : open)
+        connection->abort();
+}
+
 void http_listener::incomingConnection(qintptr descriptor)
 {
     connections_.insert(new http_connection(*this, descriptor));
--- a/test/net/http_test.cpp
+++ b/test/net/http_test.cpp
@@ -111,6 +111,43 @@
         caller.received().find("first"), caller.received().find("second"));
 }
 
+TEST_F(HttpListener, AbortClosesOneConnectionWithoutAnAnswer)
+{
+    raw_caller first(listener_.address());
+    raw_caller second(listener_.address());
+    first.write(get);
+    ASSERT_TRUE(has_requests(1));
+    second.write(get);
+    ASSERT_TRUE(has_requests(2));
+    waiting_[0]->abort();
+    answer(0, "late");
+    answer(1, "kept");
+    ASSERT_TRUE(run_until([&] {
+        return first.socket().state() == QAbstractSocket::UnconnectedState;
+    }));
+    EXPECT_EQ(first.received(), "");
+    EXPECT_TRUE(second.waits_for("kept"));
+}
+
+// Guards against pending requests that stay counted after their connections
+// were closed.
+TEST_F(HttpListener, AbortConnectionsClosesAllAndAcceptsNewOnes)
+{
+    raw_caller caller(listener_.address());
+    caller.write(get);
+    ASSERT_TRUE(has_requests(1));
+    listener_.abort_connections();
+    EXPECT_EQ(listener_.in_flight(), 0u);
+    ASSERT_TRUE(run_until([&] {
+        return caller.socket().state() == QAbstractSocket::UnconnectedState;
+    }));
+    raw_caller next(listener_.address());
+    next.write(get);
+    ASSERT_TRUE(has_requests(2));
+    answer(1, "next");
+    EXPECT_TRUE(next.waits_for("next"));
+}
+
 TEST_F(HttpListener, AnswersABadRequestAfterThePendingOneAndCloses)
 {
     raw_caller caller(listener_.address());
--- /dev/null
+++ b/tools/backend_standin/backend_server.cpp
@@ -0,0 +1,269 @@
+#include "tools/backend_standin/backend_server.hpp"
+
+#include "tools/common/http_tools.hpp"
+
+namespace filberthub::tools {
+namespace {
+
+constexpr std::string_view admin_path = "/_filberthub/";
+constexpr std::string_view control_path = "/_control";
+
+json header_json(const http_request& request, std::string_view name)
+{
+    const auto value = request.headers.get(name);
+    return value ? json(*value) : json();
+}
+
+json number_header(const http_request& request, std::string_view name)
+{
+    const auto value = request.headers.get(name);
+    return value ? json(parse_number(name, *value)) : json();
+}
+
+work_request work_of(const http_request& request)
+{
+    work_request work;
+    if (const auto text = request.headers.get("Filberthub-Key-Group")) {
+        work.group = key_group(static_cast<std::uint32_t>(
+            parse_number("Filberthub-Key-Group", *text)));
+    }
+    if (const auto text = request.headers.get("Filberthub-Fencing-Token")) {
+        work.token =
+            fencing_token(parse_number("Filberthub-Fencing-Token", *text));
+    }
+    if (const auto text = request.headers.get("Filberthub-Deadline-Ms")) {
+        work.remaining = milliseconds(static_cast<std::int64_t>(
+            parse_number("Filberthub-Deadline-Ms", *text)));
+    }
+    return work;
+}
+
+fencing_token token_from_json(const json& value)
+{
+    if (value.is_number_unsigned())
+        return fencing_token(value.get<std::uint64_t>());
+    return fencing_token(parse_number(
+        "token", value.is_string() ? value.get<std::string>() : value.dump()));
+}
+
+} // namespace
+
+backend_server::backend_server(
+    const server_options& options, history_file& history)
+    : model_(options, present_time()),
+      history_(history),
+      timer_([this] { advance(); }),
+      listener_(
+          {}, [this](const exchange_pointer& exchange) { handle(exchange); })
+{
+    listener_.listen(options.listen);
+}
+
+void backend_server::handle(const exchange_pointer& exchange)
+{
+    const std::string& target = exchange->request().target;
+    try {
+        if (target.starts_with(control_path))
+            control(exchange);
+        else if (!target.starts_with(admin_path))
+            handle_work(exchange);
+        else if (model_.frozen(present_time()))
+            held_.push_back(exchange);
+        else
+            handle_admin(exchange);
+    } catch (const error& failure) {
+        http_response response = message_response(400, failure.what());
+        response.headers.add("Filberthub-Not-Run", "1");
+        exchange->respond(std::move(response));
+    }
+}
+
+void backend_server::handle_admin(const exchange_pointer& exchange)
+{
+    const http_request& request = exchange->request();
+    const time_point now = present_time();
+    const std::string path = split_target(request.target).path;
+    if (request.method == "PUT" &&
+        (path == "/_filberthub/grant" || path == "/_filberthub/revoke")) {
+        grant(exchange);
+    } else if (request.method == "GET" && path == "/_filberthub/health") {
+        const server_state state = model_.state(now);
+        exchange->respond(
+            json_response(state == server_state::fallen ? 503 : 200,
+                json{{"id", model_.options().id.value()},
+                    {"state", to_string(state)}}));
+    } else if (request.method == "GET" && path == "/_filberthub/load") {
+        advance();
+        const load_report report = model_.report(now);
+        exchange->respond(
+            json_response(200, json{{"in_flight", report.in_flight},
+                                   {"state", to_string(report.state)}}));
+    } else {
+        exchange->respond(message_response(404, "no call " + path));
+    }
+}
+
+void backend_server::grant(const exchange_pointer& exchange)
+{
+    const http_request& request = exchange->request();
+    const json document = parse_json(request.body, error_kind::bad_request);
+    json_reader reader(document, error_kind::bad_request);
+    const std::vector<group_range> groups =
+        groups_from_json(reader.value("groups"));
+    const fencing_token token = token_from_json(reader.value("token"));
+    bool accepted = false;
+    if (request.target.starts_with("/_filberthub/grant")) {
+        const duration lease = duration_or(reader, "lease_ms", duration(0));
+        accepted = model_.grants().grant(groups, token, present_time() + lease);
+    } else {
+        accepted = model_.grants().revoke(groups, token);
+    }
+    exchange->respond(
+        accepted ? json_response(200, json::object())
+                 : message_response(409, "a group has seen a higher token"));
+}
+
+void backend_server::handle_work(const exchange_pointer& exchange)
+{
+    const work_request work = work_of(exchange->request());
+    const std::uint64_t number = ++last_number_;
+    open_.emplace(number, exchange);
+    exchange->on_cancelled([this, number] {
+        // A request that has begun goes on and stays open.
+        if (model_.cancel(number))
+            open_.erase(number);
+    });
+    model_.offer(number, work, present_time());
+    advance();
+}
+
+void backend_server::control(const exchange_pointer& exchange)
+{
+    if (exchange->request().method == "GET") {
+        exchange->respond(json_response(200, counters()));
+        return;
+    }
+    const json document =
+        parse_json(exchange->request().body, error_kind::bad_request);
+    json_reader reader(document, error_kind::bad_request);
+    const std::string state = reader.string_or("state", "");
+    const duration length = duration_or(reader, "ms",
+        state == "cold" ? model_.options().cold_time : duration(0));
+    const double factor =
+        reader.has("factor") ? reader.value("factor").get<double>() : 1.0;
+    model_.set_report_lag(
+        duration_or(reader, "report_lag_ms", model_.options().report_lag));
+    reader.finish();
+    const time_point now = present_time();
+    if (state == "cold")
+        model_.make_cold(length, now);
+    else if (state == "warm")
+        model_.make_warm(now);
+    else if (state == "drain")
+        model_.drain(now);
+    else if (state == "slow")
+        model_.slow_down(factor, now);
+    else if (state == "freeze")
+        model_.freeze(length, now);
+    else if (!state.empty() && state != "crash-connections")
+        reader.fail(
+            "state", "\"" + state +
+                         "\" is none of cold, warm, drain, slow, freeze, "
+                         "crash-connections");
+    exchange->respond(json_response(200, counters()));
+    if (state == "crash-connections")
+        listener_.abort_connections();
+    advance();
+}
+
+json backend_server::counters() const
+{
+    const server_counters& values = model_.counters();
+    return json{{"id", model_.options().id.value()},
+        {"service", model_.options().service.value()},
+        {"state", to_string(model_.state(present_time()))},
+        {"in_flight", model_.in_flight()},
+        {"connections", listener_.connection_count()},
+        {"received", values.received}, {"completed", values.completed},
+        {"cut", values.cut}, {"cancelled", values.cancelled},
+        {"refused_full", values.refused_full},
+        {"refused_draining", values.refused_draining},
+        {"refused_fallen", values.refused_fallen},
+        {"refused_token", values.refused_token},
+        {"refused_deadline", values.refused_deadline},
+        {"cold_overloads", values.cold_overloads},
+        {"most_in_flight", values.most_in_flight}};
+}
+
+void backend_server::advance()
+{
+    const time_point now = present_time();
+    const work_step step = model_.advance(now);
+    for (const work_event& event : step.events)
+        finish(event);
+    if (step.fell_over)
+        listener_.abort_connections();
+    if (!model_.frozen(now)) {
+        std::vector<exchange_pointer> held;
+        held.swap(held_);
+        for (const exchange_pointer& exchange : held)
+            handle(exchange);
+    }
+    if (const auto next = model_.next_event(now))
+        timer_.start(*next);
+    else
+        timer_.stop();
+}
+
+void backend_server::finish(const work_event& event)
+{
+    const auto found = open_.find(event.number);
+    if (found == open_.end())
+        return;
+    const exchange_pointer exchange = found->second;
+    open_.erase(found);
+    if (event.result == work_result::refused) {
+        http_response response = message_response(event.status, event.reason);
+        if (event.says_not_run)
+            response.headers.add("Filberthub-Not-Run", "1");
+        exchange->respond(std::move(response));
+        return;
+    }
+    record(exchange->request(), event);
+    if (event.result == work_result::completed)
+        exchange->respond(answer_to(exchange->request()));
+}
+
+http_response backend_server::answer_to(const http_request& request) const
+{
+    http_response response = json_response(
+        200, json{{"server", model_.options().id.value()},
+                 {"service", model_.options().service.value()},
+                 {"method", request.method}, {"target", request.target},
+                 {"request_id", header_json(request, "Filberthub-Request-Id")},
+                 {"key", header_json(request, "Filberthub-Key")},
+                 {"body_bytes", request.body.size()}});
+    if (const auto value = request.headers.get("Filberthub-Exchange"))
+        response.headers.add("Filberthub-Exchange", *value);
+    return response;
+}
+
+void backend_server::record(
+    const http_request& request, const work_event& event)
+{
+    if (!history_.enabled())
+        return;
+    json line{{"who", model_.options().id.value()}, {"what", "run"},
+        {"request_id", header_json(request, "Filberthub-Request-Id")},
+        {"key", header_json(request, "Filberthub-Key")},
+        {"group", number_header(request, "Filberthub-Key-Group")},
+        {"token", number_header(request, "Filberthub-Fencing-Token")},
+        {"method", request.method},
+        {"start_ns", event.start.time_since_epoch().count()},
+        {"end_ns", event.end.time_since_epoch().count()}};
+    if (event.result == work_result::cut)
+        line["cut"] = true;
+    history_.append(line);
+}
+
+} // namespace filberthub::tools
--- /dev/null
+++ b/tools/model/instance_list.hpp
@@ -0,0 +1,61 @@
+// The platform's list of live and leaving instances, which lags.
+//
+//     instance_list list;
+//     list.renew(instance_id("se-1"), entry, now);
+//     json seen = list.view(now);
+
+#ifndef FILBERTHUB_TOOLS_MODEL_INSTANCE_LIST_HPP
+#define FILBERTHUB_TOOLS_MODEL_INSTANCE_LIST_HPP
+
+#include <filberthub/base/json_reader.hpp>
+#include <filberthub/base/types.hpp>
+
+#include <deque>
+#include <map>
+
+namespace filberthub::tools {
+
+// Guarantees that a view is the complete list as it was one lag ago.
+class instance_list
+{
+public:
+    // An entry that is not renewed for this long is dropped.
+    static constexpr duration expiry = std::chrono::seconds(5);
+    static constexpr duration max_lag = std::chrono::seconds(60);
+
+    // Registers or renews an instance. Throws `error` of kind `bad_request` if
+    // a field is missing or has the wrong type.
+    void renew(const instance_id& id, const json& entry, time_point now);
+
+    void remove(const instance_id& id, time_point now);
+
+    // Sets the age of what `view` returns, at most `max_lag`.
+    void set_lag(duration lag);
+
+    // Returns the array of entries in the order of their ids.
+    json view(time_point now);
+
+private:
+    struct entry_state
+    {
+        json entry;
+        time_point renewed;
+    };
+    struct snapshot
+    {
+        time_point time;
+        json entries;
+    };
+
+    void drop_expired(time_point now);
+    void record(time_point now);
+
+    std::map<instance_id, entry_state> entries_;
+    // Lists by the time of the change that made them.
+    std::deque<snapshot> snapshots_;
+    duration lag_{0};
+};
+
+} // namespace filberthub::tools
+
+#endif
--- /dev/null
+++ b/tools/model/server_model.cpp
@@ -0,0 +1,324 @@
+#include "tools/model/server_model.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace filberthub::tools {
+namespace {
+
+constexpr duration max_report_lag = std::chrono::seconds(60);
+constexpr double max_milliseconds = 86'400'000;
+
+duration scaled(duration value, double factor)
+{
+    return std::chrono::duration_cast<duration>(value * factor);
+}
+
+} // namespace
+
+std::string_view to_string(server_state state)
+{
+    constexpr std::array<std::string_view, 4> names = {
+        "warm", "cold", "draining", "fallen"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+duration duration_or(
+    json_reader& reader, const std::string& field, duration fallback)
+{
+    if (!reader.has(field))
+        return fallback;
+    const json& value = reader.value(field);
+    if (!value.is_number() || value.get<double>() < 0 ||
+        value.get<double>() > max_milliseconds)
+        reader.fail(field, value.dump() + " is not a number of ms up to 1 day");
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(value.get<double>()));
+}
+
+server_options server_options_from_json(const json& document)
+{
+    json_reader reader(document);
+    server_options options;
+    options.id = backend_server_id(reader.string("id"));
+    options.listen = endpoint_from_string(reader.string("listen"));
+    options.service = service_id(reader.string("service"));
+    options.domain = failure_domain_id(reader.string("domain"));
+    options.slots =
+        static_cast<std::size_t>(reader.integer("slots", 1, 100'000));
+    options.queue = static_cast<std::size_t>(reader.integer_or(
+        "queue", 0, 100'000, static_cast<std::int64_t>(2 * options.slots)));
+    options.service_time =
+        duration_or(reader, "service_ms", options.service_time);
+    options.cold_time = duration_or(reader, "cold_ms", options.cold_time);
+    options.cold_limit = static_cast<std::size_t>(
+        reader.integer_or("cold_limit", 1, 100'000, 1));
+    options.checks_tokens = reader.boolean_or("checks_tokens", true);
+    options.report_lag =
+        duration_or(reader, "report_lag_ms", options.report_lag);
+    reader.finish();
+    return options;
+}
+
+server_model::server_model(server_options options, time_point now)
+    : options_(std::move(options)), cold_until_(now + options_.cold_time)
+{
+    record_load(now);
+}
+
+void server_model::offer(
+    std::uint64_t number, const work_request& request, time_point now)
+{
+    ++counters_.received;
+    arrivals_.push_back({number, request, now, {}, {}});
+}
+
+bool server_model::cancel(std::uint64_t number)
+{
+    const auto same = [number](
+                          const item& work) { return work.number == number; };
+    const std::size_t removed =
+        std::erase_if(arrivals_, same) + std::erase_if(waiting_, same);
+    counters_.cancelled += removed;
+    return removed > 0;
+}
+
+work_step server_model::advance(time_point now)
+{
+    work_step step;
+    if (frozen(now))
+        return step;
+    complete_due(now, step);
+    begin_waiting(now, step);
+    while (!arrivals_.empty()) {
+        const item arrival = arrivals_.front();
+        arrivals_.pop_front();
+        admit(arrival, now, step);
+    }
+    record_load(now);
+    return step;
+}
+
+std::optional<time_point> server_model::next_event(time_point now) const
+{
+    std::optional<time_point> next;
+    for (const item& work : running_)
+        next = next ? std::min(*next, work.end) : work.end;
+    if (!arrivals_.empty())
+        next = now;
+    if (frozen(now))
+        next = std::max(next.value_or(frozen_until_), frozen_until_);
+    return next;
+}
+
+void server_model::complete_due(time_point now, work_step& step)
+{
+    std::erase_if(running_, [&](const item& work) {
+        if (work.end > now)
+            return false;
+        ++counters_.completed;
+        step.events.push_back({.number = work.number,
+            .result = work_result::completed,
+            .start = work.start,
+            .end = now});
+        return true;
+    });
+}
+
+void server_model::admit(const item& arrival, time_point now, work_step& step)
+{
+    if (state(now) == server_state::fallen) {
+        // A process that restarts cannot tell what it did before, so the
+        // refusal does not say "not run".
+        ++counters_.refused_fallen;
+        step.events.push_back({.number = arrival.number,
+            .result = work_result::refused,
+            .status = 503,
+            .reason = "the server fell over"});
+        return;
+    }
+    if (draining_) {
+        ++counters_.refused_draining;
+        step.events.push_back({.number = arrival.number,
+            .result = work_result::refused,
+            .status = 503,
+            .says_not_run = true,
+            .reason = "the server drains"});
+        return;
+    }
+    if (std::optional<work_event> refused = refusal(arrival, now)) {
+        step.events.push_back(*refused);
+        return;
+    }
+    if (now < cold_until_ && in_flight() >= options_.cold_limit) {
+        ++counters_.cold_overloads;
+        fall_over(now, step);
+        return;
+    }
+    if (running_.size() < options_.slots && waiting_.empty()) {
+        begin(arrival, now);
+    } else if (waiting_.size() < options_.queue) {
+        waiting_.push_back(arrival);
+        counters_.most_in_flight =
+            std::max<std::uint64_t>(counters_.most_in_flight, in_flight());
+    } else {
+        ++counters_.refused_full;
+        step.events.push_back({.number = arrival.number,
+            .result = work_result::refused,
+            .status = 503,
+            .says_not_run = true,
+            .reason = "slots and queue are full"});
+    }
+}
+
+std::optional<work_event> server_model::refusal(
+    const item& work, time_point now)
+{
+    work_event event{.number = work.number,
+        .result = work_result::refused,
+        .status = 503,
+        .says_not_run = true};
+    if (work.request.remaining &&
+        now > work.received + *work.request.remaining) {
+        ++counters_.refused_deadline;
+        event.reason = "the deadline has passed";
+        return event;
+    }
+    if (options_.checks_tokens && work.request.group &&
+        !grants_.allows(*work.request.group, work.request.token, now)) {
+        ++counters_.refused_token;
+        event.status = 409;
+        event.reason = "no live grant for this token";
+        return event;
+    }
+    return std::nullopt;
+}
+
+void server_model::begin_waiting(time_point now, work_step& step)
+{
+    const std::size_t limit =
+        now < cold_until_ ? std::min(options_.slots, options_.cold_limit)
+                          : options_.slots;
+    while (!waiting_.empty() && running_.size() < limit) {
+        if (std::optional<work_event> refused =
+                refusal(waiting_.front(), now)) {
+            waiting_.pop_front();
+            step.events.push_back(*refused);
+            continue;
+        }
+        const item work = waiting_.front();
+        waiting_.pop_front();
+        begin(work, now);
+    }
+}
+
+void server_model::begin(item work, time_point now)
+{
+    const double factor =
+        now < cold_until_ ? cold_factor * slow_factor_ : slow_factor_;
+    work.start = now;
+    work.end = now + scaled(options_.service_time, factor);
+    running_.push_back(work);
+    counters_.most_in_flight =
+        std::max<std::uint64_t>(counters_.most_in_flight, in_flight());
+}
+
+void server_model::fall_over(time_point now, work_step& step)
+{
+    for (const item& work : running_) {
+        ++counters_.cut;
+        step.events.push_back({.number = work.number,
+            .result = work_result::cut,
+            .start = work.start,
+            .end = now});
+    }
+    running_.clear();
+    waiting_.clear();
+    fallen_until_ = now + fall_time;
+    // The server comes back as a new process does.
+    cold_until_ = fallen_until_ + options_.cold_time;
+    step.fell_over = true;
+}
+
+void server_model::make_cold(duration length, time_point now)
+{
+    cold_until_ = now + length;
+    record_load(now);
+}
+
+void server_model::make_warm(time_point now)
+{
+    cold_until_ = now;
+    fallen_until_ = now;
+    draining_ = false;
+    slow_factor_ = 1;
+    record_load(now);
+}
+
+void server_model::drain(time_point now)
+{
+    draining_ = true;
+    record_load(now);
+}
+
+void server_model::slow_down(double factor, time_point now)
+{
+    slow_factor_ = factor;
+    record_load(now);
+}
+
+void server_model::freeze(duration length, time_point now)
+{
+    frozen_until_ = now + length;
+}
+
+bool server_model::frozen(time_point now) const
+{
+    return now < frozen_until_;
+}
+
+server_state server_model::state(time_point now) const
+{
+    if (now < fallen_until_)
+        return server_state::fallen;
+    if (draining_)
+        return server_state::draining;
+    return now < cold_until_ ? server_state::cold : server_state::warm;
+}
+
+std::size_t server_model::in_flight() const
+{
+    return running_.size() + waiting_.size();
+}
+
+load_report server_model::report(time_point now) const
+{
+    if (options_.report_lag.count() == 0)
+        return {in_flight(), state(now)};
+    load_report result;
+    for (const load_sample& sample : samples_) {
+        if (sample.time > now - options_.report_lag)
+            break;
+        result = sample.report;
+    }
+    return result;
+}
+
+void server_model::set_report_lag(duration lag)
+{
+    options_.report_lag = std::min(lag, max_report_lag);
+}
+
+void server_model::record_load(time_point now)
+{
+    // Without a lag the report needs no past.
+    if (options_.report_lag.count() == 0) {
+        samples_.clear();
+        return;
+    }
+    samples_.push_back({now, {in_flight(), state(now)}});
+    while (samples_.size() > 1 && samples_[1].time < now - options_.report_lag)
+        samples_.pop_front();
+}
+
+} // namespace filberthub::tools
--- /dev/null
+++ b/tools/platform_standin/main.cpp
@@ -0,0 +1,50 @@
+// Stand-in of the platform for tests and demos: object store and instance list.
+
+#include "tools/platform_standin/platform_service.hpp"
+
+#include <QtCore/QCoreApplication>
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace {
+
+using namespace filberthub;
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Stand-in of the platform", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> listen("", "listen", "Address to listen on",
+        false, "127.0.0.1:7000", "IP:PORT", command);
+    TCLAP::MultiArg<std::string> seeds("", "seed-object",
+        "Object to store at the start", false, "NAME=FILE", command);
+    command.parse(argc, argv);
+
+    const QCoreApplication application(argc, argv);
+    tools::platform_service service(endpoint_from_string(listen.getValue()));
+    for (const std::string& seed : seeds.getValue()) {
+        const std::size_t mark = seed.find('=');
+        if (mark == std::string::npos) {
+            throw error(error_kind::bad_settings,
+                "--seed-object is \"" + seed + "\", expected NAME=FILE");
+        }
+        service.seed(
+            seed.substr(0, mark), tools::read_file(seed.substr(mark + 1)));
+    }
+    return QCoreApplication::exec();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const TCLAP::ArgException& failure) {
+        std::cerr << failure.error() << " " << failure.argId() << "\n";
+    } catch (const std::exception& failure) {
+        std::cerr << "platform_standin: " << failure.what() << "\n";
+    }
+    return 2;
+}
