--- a/include/filberthub/base/strong.hpp
+++ b/include/filberthub/base/strong.hpp
@@ -35,8 +35,7 @@
         return value_.empty();
     }
 
-    // clang-tidy 14 takes the 0 of a generated comparison for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in strong_number
     auto operator<=>(const strong_name&) const = default;
 
 private:
