--- a/include/filberthub/policy/policy_document.hpp
+++ b/include/filberthub/policy/policy_document.hpp
@@ -57,6 +57,9 @@
         return teams_;
     }
 
+    // Throws `error` of kind `bad_policy` if no section defines `domain`.
+    void check_domain(const failure_domain_id& domain) const;
+
     // Whether new work may be sent to `domain`. False for an unknown one.
     bool in_service(const failure_domain_id& domain) const;
     // Whether the instance may take roles. Its failure domain is checked apart.
@@ -68,8 +71,8 @@
         const operator_state& state);
 
     void add(const policy_section& section);
-    void check_references(const std::map<section_id, policy_section>& sections,
-        const operator_state& state) const;
+    void check_references(
+        const std::map<section_id, policy_section>& sections) const;
 
     std::map<service_id, service_policy> services_;
     std::map<failure_domain_id, region_id> domains_;
@@ -80,8 +83,9 @@
 
 // Checks all sections and what holds between them: no service, region, failure
 // domain or backend server is defined twice, weights are set at most once, and
-// every failure domain that is used is defined. Throws `error` of kind
-// `bad_policy`; there is no partial result.
+// every failure domain that is used is defined. A domain that is out of service
+// may be undefined, so that it can be removed while it is out. Throws `error`
+// of kind `bad_policy`; there is no partial result.
 policy_document check_policy(const std::map<section_id, json>& sections,
     const operator_state& state = {});
 
--- a/src/policy/policy_document.cpp
+++ b/src/policy/policy_document.cpp
@@ -120,31 +120,30 @@
     services_.insert(section.services.begin(), section.services.end());
 }
 
+void policy_document::check_domain(const failure_domain_id& domain) const
+{
+    if (!domains_.contains(domain)) {
+        throw error(
+            error_kind::bad_policy, "failure domain \"" + domain.value() +
+                                        "\" is none of " + names_of(domains_));
+    }
+}
+
 void policy_document::check_references(
-    const std::map<section_id, policy_section>& sections,
-    const operator_state& state) const
+    const std::map<section_id, policy_section>& sections) const
 {
-    const auto message = [this](const failure_domain_id& domain) {
-        return "failure domain \"" + domain.value() + "\" is none of " +
-               names_of(domains_);
-    };
     for (const auto& [id, section] : sections) {
         for (const auto& [name, service] : section.services) {
             for (std::size_t i = 0; i < service.servers.size(); ++i) {
-                const failure_domain_id& domain = service.servers[i].domain;
-                if (!domains_.contains(domain)) {
+                try {
+                    check_domain(service.servers[i].domain);
+                } catch (const error& failure) {
                     refuse(id, server_path(name, i) + "/failure_domain",
-                        message(domain));
+                        failure.what());
                 }
             }
         }
     }
-    for (const failure_domain_id& domain : state.domains_out) {
-        if (!domains_.contains(domain)) {
-            throw error(
-                error_kind::bad_policy, "out of service: " + message(domain));
-        }
-    }
 }
 
 policy_document check_policy(
@@ -158,7 +157,7 @@
     policy_document document;
     for (const auto& [id, section] : checked)
         document.add(section);
-    document.check_references(checked, state);
+    document.check_references(checked);
     document.state_ = state;
     return document;
 }
