Document the policy document and the settings

Teams need to know which section they own, what the bounds are and what an answer such as "conflict" or "unknown" asks of them. A test reads the examples in both pages, so that they stay accepted.

--- a/test/policy/example_test.cpp
+++ b/test/policy/example_test.cpp
@@ -98,5 +98,23 @@
     }
 }
 
+// Returns the JSON of the first code block of a page.
+std::string json_block_of(const std::string& page)
+{
+    const std::string text =
+        text_of(std::filesystem::path(FILBERTHUB_SOURCE_DIR) / "docs" / page);
+    const std::string fence = "```json\n";
+    const std::size_t begin = text.find(fence) + fence.size();
+    return text.substr(begin, text.find("```", begin) - begin);
+}
+
+// Guards against documentation that instances refuse.
+TEST(Examples, InTheDocumentationAreAccepted)
+{
+    EXPECT_NO_THROW(check_section(
+        section_id("raddning"), parse_policy_text(json_block_of("policy.md"))));
+    EXPECT_NO_THROW(settings::from_text(json_block_of("settings.md")));
+}
+
 } // namespace
 } // namespace filberthub
