Add the load generator

Load is open loop: arrivals follow a seeded Poisson schedule, and latencies count from the intended start, so that a stall of the router is not hidden by the caller.

A closed loop measures the highest throughput, and idle connections measure memory.

--- /dev/null
+++ b/tools/loadgen/main.cpp
@@ -0,0 +1,99 @@
+// Load generator for tests and measurements.
+
+#include "tools/common/http_tools.hpp"
+#include "tools/loadgen/idle_connections.hpp"
+#include "tools/loadgen/load_run.hpp"
+
+#include <QtCore/QCoreApplication>
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace {
+
+using namespace filberthub;
+
+int hold_idle(
+    const std::vector<endpoint>& entries, std::size_t count, duration length)
+{
+    const time_point start = tools::present_time();
+    const tools::idle_connections idle(entries, count, [&] {
+        const std::chrono::duration<double> seconds =
+            tools::present_time() - start;
+        std::cout << json{{"idle_connections", count},
+                         {"seconds", seconds.count()}}
+                  << std::endl;
+    });
+    QTimer::singleShot(
+        std::chrono::duration_cast<milliseconds>(length), [&idle] {
+            std::cout << json{{"lost_connections", idle.lost()}} << std::endl;
+            QCoreApplication::exit(idle.lost() > 0 ? 1 : 0);
+        });
+    return QCoreApplication::exec();
+}
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Load generator", ' ', "0.1.0");
+    TCLAP::MultiArg<std::string> entries(
+        "", "entry", "Address to send to", true, "IP:PORT", command);
+    TCLAP::ValueArg<std::string> mix("", "services",
+        "JSON file with the services, their shares and keys", false, "", "FILE",
+        command);
+    TCLAP::ValueArg<double> rate("", "rate",
+        "Requests per second of the open loop", false, 100, "N", command);
+    TCLAP::ValueArg<std::size_t> closed("", "closed",
+        "Callers with one request at a time, instead of the open loop", false,
+        0, "N", command);
+    TCLAP::ValueArg<std::size_t> idle("", "idle",
+        "Open N connections and send nothing", false, 0, "N", command);
+    TCLAP::ValueArg<double> seconds(
+        "", "seconds", "Length of the run", false, 10, "S", command);
+    TCLAP::ValueArg<std::size_t> connections("", "connections",
+        "Connections to each entry", false, 64, "N", command);
+    TCLAP::ValueArg<std::uint64_t> seed(
+        "", "seed", "Seed of arrivals and keys", false, 1, "N", command);
+    TCLAP::ValueArg<std::string> name("", "name",
+        "Name in request ids and in the history", false, "loadgen", "NAME",
+        command);
+    TCLAP::ValueArg<std::string> history("", "history",
+        "File to which each request is appended", false, "", "FILE", command);
+    command.parse(argc, argv);
+
+    const QCoreApplication application(argc, argv);
+    tools::load_options options;
+    for (const std::string& text : entries.getValue())
+        options.entries.push_back(endpoint_from_string(text));
+    options.length = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds.getValue()));
+    if (idle.getValue() > 0)
+        return hold_idle(options.entries, idle.getValue(), options.length);
+    options.rate = rate.getValue();
+    if (options.rate <= 0)
+        throw error(error_kind::bad_settings, "--rate is not above 0");
+    options.closed_callers = closed.getValue();
+    options.connections = connections.getValue();
+    options.seed = seed.getValue();
+    options.name = name.getValue();
+    options.history = history.getValue();
+    tools::load_run load(options,
+        parse_json(tools::read_file(mix.getValue()), error_kind::bad_settings));
+    load.on_finished([](int code) { QCoreApplication::exit(code); });
+    load.start();
+    return QCoreApplication::exec();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const TCLAP::ArgException& failure) {
+        std::cerr << failure.error() << " " << failure.argId() << "\n";
+    } catch (const std::exception& failure) {
+        std::cerr << "loadgen: " << failure.what() << "\n";
+    }
+    return 2;
+}
