--- a/include/filberthub/membership/lapse_evidence.hpp
+++ b/include/filberthub/membership/lapse_evidence.hpp
@@ -15,6 +15,9 @@
 
 namespace filberthub {
 
+// Bound on the remembered lapses of members that left the table.
+inline constexpr std::size_t lapse_limit = 4096;
+
 // A member whose lease has lapsed for good.
 struct lapse
 {
@@ -32,7 +35,9 @@
 // majority, a round of queries is sent. Each answer states a silence that, less
 // the time since the query was sent, reaches back by at least the expiry from
 // the moment of the query. A majority of such answers proves that the lease was
-// not held at that moment, and a lease that was held before never resumes.
+// not held at that moment, and a lease that was held before never resumes. Of a
+// member that is not ready it is unknown whether it held its lease before, so
+// it is asked for only after `join_window`, when it has given up otherwise.
 template <class Rules = lease_rules>
 class basic_lapse_evidence
 {
@@ -40,7 +45,7 @@
     explicit basic_lapse_evidence(member_key self) : self_(std::move(self)) {}
 
     // To be called with each newer fleet table.
-    void adopt(fleet_table_ptr table);
+    void adopt(fleet_table_ptr table, time_point now);
 
     // Takes a notice or an answer. Returns whether a lapse was found.
     bool on_lease_expired(const lease_expired& message, time_point now);
@@ -51,7 +56,8 @@
     // Returns the lapse of `member`, or null.
     const lapse* find(const member_key& member) const;
 
-    // Returns all members of the table which lapsed, for the planner.
+    // Returns all known members that lapsed, for the planner. A member that
+    // left the table stays in it, as the platform may still list it.
     std::set<member_key> lapsed() const;
 
     // Whether a witness knew a newer fleet table, which has to be pulled
@@ -83,6 +89,8 @@
     fleet_table_ptr table_;
     std::uint64_t last_round_ = 0;
     object_version newest_seen_;
+    // Members that are not ready, with the time at which they were first seen.
+    std::map<member_key, time_point> joining_;
     std::map<member_key, suspicion> suspicions_;
     std::map<member_key, lapse> lapses_;
 };
--- a/include/filberthub/membership/member_lease.hpp
+++ b/include/filberthub/membership/member_lease.hpp
@@ -28,7 +28,9 @@
 class basic_member_lease
 {
 public:
-    explicit basic_member_lease(member_key self) : self_(std::move(self)) {}
+    basic_member_lease(member_key self, time_point started)
+        : self_(std::move(self)), started_(started)
+    {}
 
     const member_key& self() const
     {
@@ -61,12 +63,14 @@
         return valid_until_ && !ended_ && now < *valid_until_;
     }
 
-    // Whether the lease was held and is over for good. This instance then
-    // sends no work and no acks, and answers no queries.
+    // Whether the lease is over for good: it was held and has ended, or it was
+    // not held within `join_window` of the start. This instance then sends no
+    // work and no acks, and answers no queries.
     bool lapsed(time_point now) const
     {
-        return ended_ ||
-               (Rules::lapse_is_final && valid_until_ && now >= *valid_until_);
+        if (ended_ || !Rules::lapse_is_final)
+            return ended_;
+        return now >= valid_until_.value_or(started_ + join_window);
     }
 
     // Returns the end of the lease; empty if it was never held.
@@ -119,6 +123,7 @@
     static constexpr std::size_t history_size = 16;
 
     member_key self_;
+    time_point started_;
     object_version fleet_;
     bool joined_ = false;
     bool ended_ = false;
--- a/include/filberthub/membership/protocol.hpp
+++ b/include/filberthub/membership/protocol.hpp
@@ -24,6 +24,10 @@
 inline constexpr duration witness_expiry = milliseconds(1224);
 // Grants to backend servers end this long before the lease does.
 inline constexpr duration grant_margin = milliseconds(50);
+// A process that has not held its lease this long after its start gives up and
+// joins with a new incarnation. Silence about a member that is not ready proves
+// something only after this time, as it could still get its first lease.
+inline constexpr duration join_window = std::chrono::seconds(10);
 // Time between two rounds of expiry queries for the same member.
 inline constexpr duration query_interval = milliseconds(25);
 
@@ -66,6 +70,9 @@
     // Rule 4: majorities of both witness lists, and no evidence from a witness
     // that knows a newer fleet version.
     static constexpr bool joint_lists = true;
+    // Silence counts only in answers to one round of queries, and only as far
+    // as it reaches back before the round.
+    static constexpr bool simultaneous_silence = true;
 };
 
 } // namespace filberthub
--- a/include/filberthub/membership/takeover_tracker.hpp
+++ b/include/filberthub/membership/takeover_tracker.hpp
@@ -29,7 +29,7 @@
     // To be called with each newer fleet table, after the lease adopted it.
     // Tokens and positions come from it once a majority of witnesses has
     // acknowledged its version.
-    void adopt(fleet_table_ptr table);
+    void adopt(fleet_table_ptr table, time_point now);
 
     // To be called after each ack that the lease took.
     void on_acknowledged();
--- a/src/membership/fleet_planner.cpp
+++ b/src/membership/fleet_planner.cpp
@@ -29,12 +29,12 @@
 {
     gone = input.lapsed;
     for (const member_status& status : input.statuses) {
+        if (status.departed)
+            gone.insert(status.from);
         const auto found = state.members.find(status.from.instance);
         if (found == state.members.end() || found->second.key != status.from)
             continue;
         fleet_member& member = found->second;
-        if (status.departed)
-            gone.insert(status.from);
         member.ready = member.ready || status.ready;
         if (!member.previous.empty() && status.settled >= member.changed)
             member.previous.clear();
@@ -43,13 +43,17 @@
         [&](const auto& item) { return gone.contains(item.second.key); });
 }
 
-void add_joining(fleet_state& state, const fleet_input& input)
+void add_joining(fleet_state& state, const fleet_input& input,
+    const std::set<member_key>& gone)
 {
     for (const listed_instance& listed : input.instances) {
         if (listed.leaving) {
             state.leaving.insert(listed.key.instance);
             continue;
         }
+        // The list lags; an incarnation that is gone never returns.
+        if (gone.contains(listed.key))
+            continue;
         fleet_member member;
         member.key = listed.key;
         member.address = listed.address;
@@ -177,7 +181,7 @@
         state.members.emplace(member.key.instance, member);
     std::set<member_key> gone;
     apply_statuses(state, input, gone);
-    add_joining(state, input);
+    add_joining(state, input, gone);
     assign_witnesses(state, next);
 
     std::vector<detail::candidate> candidates;
--- a/src/membership/lapse_evidence_impl.hpp
+++ b/src/membership/lapse_evidence_impl.hpp
@@ -8,7 +8,7 @@
 namespace filberthub {
 
 template <class Rules>
-void basic_lapse_evidence<Rules>::adopt(fleet_table_ptr table)
+void basic_lapse_evidence<Rules>::adopt(fleet_table_ptr table, time_point now)
 {
     if (table_ && table->version() <= table_->version())
         return;
@@ -16,8 +16,18 @@
     const auto is_gone = [&](const auto& item) {
         return table_->find(item.first) == nullptr;
     };
-    std::erase_if(lapses_, is_gone);
+    if (lapses_.size() > lapse_limit)
+        std::erase_if(lapses_, is_gone);
     std::erase_if(suspicions_, is_gone);
+    std::map<member_key, time_point> joining;
+    for (const fleet_member& member : table_->members()) {
+        if (member.ready)
+            continue;
+        const auto seen = joining_.find(member.key);
+        joining.emplace(
+            member.key, seen == joining_.end() ? now : seen->second);
+    }
+    joining_ = std::move(joining);
     // Answers to an earlier round may come from witnesses that were replaced.
     for (auto& [member, state] : suspicions_) {
         state.round = 0;
@@ -51,18 +61,19 @@
         return false;
     newest_seen_ = std::max(newest_seen_, message.fleet);
     suspicion& state = suspicions_[message.member];
-    if (message.round == 0) {
+    if (Rules::simultaneous_silence && message.round == 0) {
         state.notices[message.from.instance] = now;
         return false;
     }
-    if (message.to != self_ || message.round != state.round)
+    if (Rules::simultaneous_silence &&
+        (message.to != self_ || message.round != state.round))
         return false;
     if (Rules::joint_lists && message.fleet > table_->version())
         return false;
     const duration elapsed = now - state.asked;
     // The allowance for drift applies to the time since the query as well.
     const duration needed = Rules::expiry + elapsed + elapsed / 50;
-    if (message.silence < needed)
+    if (Rules::simultaneous_silence && message.silence < needed)
         return false;
     state.answers[message.from.instance] = {message.fleet, message.retired};
     if (!has_majorities(*member, [&](const instance_id& witness) {
@@ -94,6 +105,10 @@
         });
         if (state.round != 0 && now - state.asked < query_interval)
             continue;
+        const auto joining = joining_.find(key);
+        if (joining != joining_.end() &&
+            now - joining->second < join_window + join_window / 50)
+            continue;
         const fleet_member* member = table_->find(key);
         if (!has_majorities(*member, [&](const instance_id& witness) {
                 return state.notices.contains(witness);
@@ -108,8 +123,9 @@
         result.push_back(
             {{to.begin(), to.end()}, expiry_query{self_, key, state.round}});
     }
-    std::erase_if(suspicions_,
-        [](const auto& item) { return item.second.notices.empty(); });
+    std::erase_if(suspicions_, [](const auto& item) {
+        return Rules::simultaneous_silence && item.second.notices.empty();
+    });
     return result;
 }
 
--- a/src/membership/takeover_tracker_impl.hpp
+++ b/src/membership/takeover_tracker_impl.hpp
@@ -17,12 +17,12 @@
 }
 
 template <class Rules>
-void basic_takeover_tracker<Rules>::adopt(fleet_table_ptr table)
+void basic_takeover_tracker<Rules>::adopt(fleet_table_ptr table, time_point now)
 {
     if (known_ && table->version() <= known_->version())
         return;
     known_ = std::move(table);
-    evidence_.adopt(known_);
+    evidence_.adopt(known_, now);
     on_acknowledged();
 }
 
