--- a/include/filberthub/attempt/duplicate_filter.hpp
+++ b/include/filberthub/attempt/duplicate_filter.hpp
@@ -124,7 +124,7 @@
         const auto found = by_key.find(run.key);
         if (found == by_key.end())
             return std::nullopt;
-        if (Rules::match_runs && compare_runs(found->record, run) != 0)
+        if (Rules::match_runs && !same_run(found->record, run))
             return std::nullopt;
         intent outcome = run;
         outcome.state = state;
--- a/include/filberthub/attempt/intent.hpp
+++ b/include/filberthub/attempt/intent.hpp
@@ -12,6 +12,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <utility>
 
 namespace filberthub {
 
@@ -51,13 +52,16 @@
     bool operator==(const intent&) const = default;
 };
 
-// Orders the runs of one request id.
-inline std::strong_ordering compare_runs(
-    const intent& left, const intent& right)
+// Whether `left` is an earlier run of the same request id than `right`.
+inline bool earlier_run(const intent& left, const intent& right)
 {
-    if (const auto order = left.holder <=> right.holder; order != 0)
-        return order;
-    return left.run <=> right.run;
+    return std::pair(left.holder.value(), left.run) <
+           std::pair(right.holder.value(), right.run);
+}
+
+inline bool same_run(const intent& left, const intent& right)
+{
+    return left.holder == right.holder && left.run == right.run;
 }
 
 // The rules of duplicate suppression. A test derives a variant with one rule
--- a/include/filberthub/attempt/intent_log.hpp
+++ b/include/filberthub/attempt/intent_log.hpp
@@ -171,10 +171,9 @@
     {
         if (!Rules::match_runs)
             return true;
-        const auto order = compare_runs(entry, known);
-        if (order != 0)
-            return order > 0;
-        return known.state == intent_state::started;
+        // The first outcome of a run stays.
+        return earlier_run(known, entry) ||
+               (same_run(known, entry) && known.state == intent_state::started);
     }
 
     intent_log_settings settings_;
@@ -230,10 +229,11 @@
                 merged_.try_emplace(entry.key, entry);
             if (inserted)
                 continue;
-            const auto order = compare_runs(entry, found->second);
-            if (!Rules::match_runs || order > 0 ||
-                (order == 0 && found->second.state == intent_state::started))
-                found->second = entry;
+            intent& known = found->second;
+            if (!Rules::match_runs || earlier_run(known, entry) ||
+                (same_run(known, entry) &&
+                    known.state == intent_state::started))
+                known = entry;
         }
     }
 
