--- a/include/filberthub/admission/gate_types.hpp
+++ b/include/filberthub/admission/gate_types.hpp
@@ -90,6 +90,8 @@
     duration mean_latency{};
     // Draining or out of service.
     bool closed = false;
+    // The ramp has not reached all slots.
+    bool cold = false;
 };
 
 // Throws `error` of kind `bad_settings` unless `slots` is 1 to 1024 and
--- a/include/filberthub/admission/server_gate.hpp
+++ b/include/filberthub/admission/server_gate.hpp
@@ -33,6 +33,9 @@
     unsigned rescue_reserve = 0;
 };
 
+template <ramp_policy Ramp, limit_policy Limit>
+class basic_server_gate_builder;
+
 // Guarantees: never more than `limit()` requests are admitted and unfinished,
 // except that a limit which falls does not recall admitted requests. A refused
 // request was never admitted, so each refusal may be answered as not run.
@@ -41,6 +44,8 @@
 class basic_server_gate
 {
 public:
+    using builder = basic_server_gate_builder<Ramp, Limit>;
+
     // A new gate knows nothing about its server, so that its limit is that of
     // the ramp after a reset.
     basic_server_gate(
@@ -186,7 +191,8 @@
     {
         return {limit(now), static_cast<unsigned>(running_.size()),
             static_cast<unsigned>(queue_.size()), times_.mean(),
-            draining_ || out_of_service_};
+            draining_ || out_of_service_,
+            ramp_.limit(settings_.slots, now) < settings_.slots};
     }
 
 private:
--- /dev/null
+++ b/test/admission/selection_test.cpp
@@ -0,0 +1,178 @@
+#include <filberthub/admission/deadline.hpp>
+#include <filberthub/admission/hedge_policy.hpp>
+#include <filberthub/admission/server_selector.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+
+namespace filberthub {
+namespace {
+
+using namespace std::chrono_literals;
+
+const failure_domain_id near("a");
+const failure_domain_id far("b");
+
+gate_summary summary(duration latency, unsigned in_flight = 0)
+{
+    return {2, in_flight, 0, latency, false, false};
+}
+
+std::vector<int> shares(const server_selector& servers, std::size_t count)
+{
+    std::mt19937_64 engine(20261204);
+    std::vector<int> chosen(count);
+    for (int draw = 0; draw < 100000; ++draw)
+        ++chosen.at(servers.choose(near, engine).value());
+    return chosen;
+}
+
+// Guards against a straggler that gets so much that it sets the p99, and
+// against one that gets nothing, so that its recovery is never seen.
+TEST(ServerSelector, GivesAStragglerOneTenthOfItsShare)
+{
+    server_selector servers;
+    for (std::size_t index = 0; index < 10; ++index) {
+        servers.add(near);
+        servers.update(index, summary(index == 3 ? 25ms : 10ms));
+    }
+    servers.refresh();
+    EXPECT_TRUE(servers.straggler(3));
+    const auto chosen = shares(servers, 10);
+    EXPECT_NEAR(chosen[3], 1000, 150);
+    EXPECT_NEAR(chosen[4], 11000, 1000);
+}
+
+TEST(ServerSelector, PrefersShortWaitsAndTheOwnDomain)
+{
+    server_selector servers;
+    for (const auto& domain : {near, far, near})
+        servers.add(domain);
+    servers.update(0, summary(10ms));
+    servers.update(1, summary(10ms));
+    servers.update(2, summary(10ms, 2));
+    const auto chosen = shares(servers, 3);
+    EXPECT_GT(chosen[0], chosen[1]);
+    EXPECT_GT(chosen[1], chosen[2]);
+}
+
+TEST(ServerSelector, ExcludesClosedUnknownAndFullColdServers)
+{
+    server_selector servers;
+    for (int count = 0; count < 4; ++count)
+        servers.add(near);
+    std::mt19937_64 engine(1);
+    EXPECT_FALSE(servers.choose(near, engine));
+    servers.update(0, {2, 0, 0, 10ms, true, false});
+    servers.update(1, {1, 1, 0, 10ms, false, true});
+    servers.update(2, summary(10ms));
+    EXPECT_EQ(shares(servers, 4)[2], 100000);
+    EXPECT_FALSE(servers.choose(near, engine, 2));
+    servers.update(1, {1, 0, 0, 10ms, false, true});
+    EXPECT_EQ(servers.choose(near, engine, 2), 1U);
+}
+
+TEST(RetryBudget, AllowsTenPercentAndTheBurst)
+{
+    retry_budget budget;
+    int taken = 0;
+    for (int request = 0; request < 1000; ++request) {
+        budget.on_request();
+        for (int more = 0; more < 3; ++more)
+            taken += budget.try_take() ? 1 : 0;
+    }
+    EXPECT_EQ(taken, 103);
+}
+
+RC_GTEST_PROP(RetryBudget, NeverExceedsItsShare, (std::vector<bool> steps))
+{
+    retry_budget budget;
+    unsigned requests = 0;
+    unsigned taken = 0;
+    for (const bool request : steps) {
+        if (request) {
+            ++requests;
+            budget.on_request();
+        } else {
+            taken += budget.try_take() ? 1 : 0;
+        }
+        RC_ASSERT(10 * taken <= requests + 40);
+    }
+}
+
+// Guards against hedges of requests that must not run twice, and against more
+// hedges than the budget.
+TEST(HedgePolicy, HedgesFivePercentOfReadsWithoutAKey)
+{
+    hedge_policy hedges;
+    const hedge_candidate read{true, false};
+    EXPECT_FALSE(hedges.delay(read));
+    int taken = 0;
+    for (int count = 0; count < 1000; ++count) {
+        hedges.on_request();
+        hedges.on_answer(milliseconds(1 + count % 100));
+        taken += hedges.try_hedge(read) ? 1 : 0;
+    }
+    EXPECT_LE(taken, 51);
+    EXPECT_GE(taken, 45);
+    EXPECT_NEAR(static_cast<double>(hedges.delay(read)->count()) / 1e6, 95, 3);
+    EXPECT_FALSE(hedges.delay({true, true}));
+    EXPECT_FALSE(hedges.delay({false, false}));
+    EXPECT_FALSE(hedges.try_hedge({false, false}));
+}
+
+// Guards against an estimate so far from the exact value that hedges are sent
+// for too many requests. Prints the error.
+TEST(LatencyQuantile, IsCloseToTheExactValue)
+{
+    for (const double sigma : {0.3, 0.6, 1.0}) {
+        double worst = 0;
+        for (unsigned seed = 1; seed <= 20; ++seed) {
+            std::mt19937_64 engine(seed);
+            std::lognormal_distribution<double> latency(std::log(8e6), sigma);
+            latency_quantile estimate(0.95);
+            std::vector<double> all;
+            for (std::size_t n = 0; n < latency_quantile::window; ++n) {
+                all.push_back(latency(engine));
+                estimate.add(duration(static_cast<std::int64_t>(all.back())));
+            }
+            std::sort(all.begin(), all.end());
+            const double exact = all[all.size() * 95 / 100];
+            const double seen = static_cast<double>(estimate.value()->count());
+            worst = std::max(worst, std::abs(seen / exact - 1));
+        }
+        std::cout << "p95 of lognormal, sigma " << sigma << ": worst error of "
+                  << "20 seeds " << 100 * worst << "%\n";
+        EXPECT_LT(worst, 0.10) << "sigma " << sigma;
+    }
+}
+
+RC_GTEST_PROP(Deadline, ShrinksAtEachHop, (std::uint32_t start))
+{
+    milliseconds remaining(start % 10000 + 1);
+    while (true) {
+        const time_point deadline = deadline_from(remaining, time_point(5s));
+        const auto next = remaining_for_hop(
+            deadline, time_point(5s + 300us), milliseconds(1));
+        if (!next)
+            break;
+        RC_ASSERT(*next < remaining);
+        RC_ASSERT(*next >= 1ms);
+        remaining = *next;
+    }
+}
+
+TEST(Deadline, EndsWithTheLease)
+{
+    EXPECT_EQ(
+        deadline_within_lease(time_point(3s), time_point(1s)), time_point(1s));
+    EXPECT_EQ(
+        remaining_for_hop(time_point(1s), time_point(2s), 1ms), std::nullopt);
+}
+
+} // namespace
+} // namespace filberthub
--- /dev/null
+++ b/test/admission/server_gate_test.cpp
@@ -0,0 +1,230 @@
+#include <filberthub/admission/server_gate.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace filberthub {
+namespace {
+
+using namespace std::chrono_literals;
+
+using open_gate = basic_server_gate<no_ramp, static_limit>;
+
+template <class Gate = open_gate>
+Gate gate_with(unsigned slots, unsigned reserve = 0)
+{
+    return typename Gate::builder()
+        .slots(slots)
+        .baseline(10ms)
+        .rescue_reserve(reserve)
+        .build(time_point());
+}
+
+gate_request request(std::uint64_t number,
+    priority level = priority::interactive, duration deadline = 100s)
+{
+    return {request_number(number), level, time_point(deadline)};
+}
+
+TEST(ServerGate, AdmitsByPriorityAndThenByDeadline)
+{
+    auto gate = gate_with(1);
+    EXPECT_EQ(gate.offer(request(1), {}).decision, verdict::admit);
+    EXPECT_EQ(
+        gate.offer(request(2, priority::bulk), {}).decision, verdict::wait);
+    gate.offer(request(3, priority::edit), {});
+    gate.offer(request(4, priority::interactive, 90s), {});
+    gate.offer(request(5, priority::interactive, 80s), {});
+    gate.offer(request(6, priority::rescue), {});
+    std::uint64_t running = 1;
+    for (const std::uint64_t next : {6U, 5U, 4U, 3U, 2U}) {
+        const auto changes =
+            gate.finish(request_number(running), answer_result::good, {});
+        ASSERT_EQ(changes.admitted.size(), 1U);
+        EXPECT_EQ(changes.admitted[0], request_number(next));
+        running = next;
+    }
+    EXPECT_THROW(
+        gate.finish(request_number(99), answer_result::good, {}), error);
+}
+
+// Guards against a full queue that holds back a rescue request, or in which
+// reads displace the last scans.
+TEST(ServerGate, ShedsLowerPrioritiesFirstAndKeepsTheirReservedPlaces)
+{
+    auto gate = gate_with(1);
+    gate.offer(request(0), {});
+    for (std::uint64_t number = 1; number <= 32; ++number)
+        gate.offer(request(number, priority::bulk), {});
+    EXPECT_EQ(gate.offer(request(40, priority::bulk), {}).reason,
+        error_kind::overloaded);
+    for (std::uint64_t number = 41; number < 41 + 28; ++number) {
+        const auto offered = gate.offer(request(number), {});
+        ASSERT_TRUE(offered.displaced);
+        EXPECT_EQ(offered.displaced->reason, error_kind::overloaded);
+        EXPECT_LE(offered.displaced->number, request_number(32));
+    }
+    EXPECT_EQ(gate.offer(request(70), {}).decision, verdict::refuse);
+    EXPECT_EQ(
+        gate.offer(request(71, priority::rescue), {}).decision, verdict::wait);
+}
+
+// Guards against a scan that is lost because of a constant stream of reads.
+TEST(ServerGate, AdmitsBulkWithinItsTurnUnderConstantReads)
+{
+    auto gate = gate_with(1);
+    for (std::uint64_t number = 0; number < 33; ++number)
+        gate.offer(request(number), {});
+    ASSERT_EQ(
+        gate.offer(request(1000, priority::bulk), {}).decision, verdict::wait);
+    std::uint64_t running = 0;
+    for (std::uint64_t count = 1;; ++count) {
+        ASSERT_LE(count, waiting_queue::turn + 2);
+        const auto changes =
+            gate.finish(request_number(running), answer_result::good, {});
+        running = changes.admitted.at(0).value();
+        if (running == 1000)
+            break;
+        gate.offer(request(100 + count), {});
+    }
+}
+
+TEST(ServerGate, RefusesWhatCannotFinish)
+{
+    auto gate = gate_with(1);
+    gate.offer(request(1), {});
+    EXPECT_EQ(gate.offer(request(2, priority::interactive, 19ms), {}).reason,
+        error_kind::deadline_exceeded_not_run);
+    EXPECT_EQ(gate.offer(request(3, priority::interactive, 21ms), {}).decision,
+        verdict::wait);
+    EXPECT_TRUE(gate.expire(time_point(15ms)).refused.empty());
+    const auto late = gate.expire(time_point(17ms));
+    ASSERT_EQ(late.refused.size(), 1U);
+    EXPECT_EQ(late.refused[0].reason, error_kind::deadline_exceeded_not_run);
+}
+
+// Guards against a cold server that is filled before it has shown that it is
+// warm, or on evidence from before it became cold.
+TEST(ServerGate, StartsWithOneAndFollowsEvidence)
+{
+    auto gate = gate_with<server_gate>(4);
+    EXPECT_EQ(gate.limit({}), 1U);
+    std::uint64_t number = 0;
+    const auto answer = [&](duration latency, answer_result result) {
+        gate.offer(request(++number), {});
+        gate.finish(request_number(number), result, time_point(latency));
+    };
+    for (int count = 0; count < 6; ++count)
+        answer(10ms, answer_result::good);
+    EXPECT_EQ(gate.limit({}), 4U);
+    gate.offer(request(90), {});
+    gate.on_connection_reset(time_point(1ms));
+    EXPECT_EQ(gate.limit({}), 1U);
+    gate.finish(request_number(90), answer_result::good, time_point(10ms));
+    EXPECT_EQ(gate.limit({}), 1U) << "evidence from before the reset";
+    gate.on_report({0.1, false}, {});
+    EXPECT_EQ(gate.limit({}), 1U) << "a report raised the limit";
+}
+
+TEST(ServerGate, LowersTheLimitByReports)
+{
+    auto gate = gate_with<basic_server_gate<no_ramp, aimd_limit>>(4);
+    gate.on_report({2.0, false}, {});
+    EXPECT_EQ(gate.limit({}), 2U);
+    gate.on_report({0.5, false}, {});
+    EXPECT_EQ(gate.limit({}), 2U);
+}
+
+TEST(ServerGate, HandsBackWaitingRequestsWhenItCloses)
+{
+    auto gate = gate_with(1);
+    gate.offer(request(1), {});
+    gate.offer(request(2), {});
+    EXPECT_EQ(gate.cancel(request_number(1), {}), cancel_result::admitted);
+    EXPECT_EQ(gate.set_out_of_service(true, {}).refused.at(0).reason,
+        error_kind::domain_out_of_service);
+    EXPECT_EQ(
+        gate.offer(request(3), {}).reason, error_kind::domain_out_of_service);
+    gate.set_out_of_service(false, {});
+    gate.offer(request(4), {});
+    EXPECT_EQ(gate.cancel(request_number(4), {}), cancel_result::was_waiting);
+    gate.offer(request(5), {});
+    EXPECT_EQ(gate.drain().refused.at(0).number, request_number(5));
+    EXPECT_FALSE(gate.idle());
+    gate.finish(request_number(1), answer_result::good, {});
+    EXPECT_TRUE(gate.idle());
+}
+
+TEST(ServerGate, KeepsASlotForRescueOnlyWhileRescueRequestsArrive)
+{
+    auto gate = gate_with(2, 1);
+    gate.offer(request(1, priority::rescue), {});
+    EXPECT_EQ(gate.offer(request(2), {}).decision, verdict::wait);
+    EXPECT_EQ(
+        gate.offer(request(3, priority::rescue), {}).decision, verdict::admit);
+    const auto later = gate.expire(time_point(11s));
+    EXPECT_TRUE(later.admitted.empty());
+    const auto changes =
+        gate.finish(request_number(3), answer_result::good, time_point(11s));
+    EXPECT_EQ(changes.admitted.size(), 1U);
+}
+
+// Guards against lost requests and against more admitted requests than the
+// limit, whatever the order of calls is.
+RC_GTEST_PROP(ServerGate, AccountsForEachRequestOnce,
+    (const std::vector<std::uint16_t>& steps))
+{
+    auto gate = gate_with<server_gate>(2, 1);
+    std::set<std::uint64_t> waiting;
+    std::set<std::uint64_t> running;
+    time_point now;
+    const auto apply = [&](const gate_changes& changes) {
+        for (const auto number : changes.admitted) {
+            RC_ASSERT(waiting.erase(number.value()) == 1U);
+            running.insert(number.value());
+        }
+        for (const auto& refused : changes.refused)
+            RC_ASSERT(waiting.erase(refused.number.value()) == 1U);
+    };
+    std::uint64_t number = 0;
+    for (const auto step : steps) {
+        now += 1ms;
+        const std::size_t before = running.size();
+        const unsigned limit = gate.limit(now);
+        if (step % 3 != 0) {
+            const auto result =
+                gate.offer({request_number(++number), priority(step / 4 % 4),
+                               now + milliseconds(step / 16)},
+                    now);
+            if (result.displaced)
+                RC_ASSERT(
+                    waiting.erase(result.displaced->number.value()) == 1U);
+            if (result.decision == verdict::admit)
+                running.insert(number);
+            else if (result.decision == verdict::wait)
+                waiting.insert(number);
+        } else if (!running.empty() && step % 2 == 0) {
+            const std::uint64_t done = *running.begin();
+            running.erase(done);
+            apply(gate.finish(
+                request_number(done), answer_result(step / 8 % 6), now));
+        } else {
+            apply(gate.expire(now));
+        }
+        if (running.size() > before)
+            RC_ASSERT(running.size() <= std::max(limit, gate.limit(now)));
+        RC_ASSERT(gate.summary(now).waiting == waiting.size());
+        RC_ASSERT(gate.summary(now).in_flight == running.size());
+    }
+}
+
+TEST(ServerGateBuilder, RefusesSettingsOutOfRange)
+{
+    EXPECT_THROW(server_gate_builder().slots(0).build({}), error);
+    EXPECT_THROW(server_gate_builder().baseline(0ms).build({}), error);
+}
+
+} // namespace
+} // namespace filberthub
