Judge a backend server by the mean of its recent answers

Cause: the gate treated one answer slower than 3 times the baseline as a cold start. With lognormal service times of sigma 0.5 one answer in 140 is that slow, so warm servers fell to one slot again and again. A moving mean of weight 1/8 since the last reset is used: over 2 times the baseline the state is unknown, up to 1.5 times it is evidence for a further slot.

Ruled out: raising the factor for single answers. A service with sigma 1 would need a factor of 9, and a cold server at 3 times the baseline is not seen.

--- a/include/filberthub/admission/server_gate.hpp
+++ b/include/filberthub/admission/server_gate.hpp
@@ -213,6 +213,7 @@
     void forget(time_point now)
     {
         ramp_.reset(now);
+        times_.forget();
         unknown_since_ = now;
     }
 
@@ -254,13 +255,13 @@
         switch (result) {
         case answer_result::good:
         case answer_result::timed_out:
-            if (current && times_.suspicious(latency))
+            times_.add(latency, current);
+            if (current && times_.suspicious())
                 forget(now);
             else if (current)
                 ramp_.on_answer(
-                    result == answer_result::good && times_.good(latency), now);
+                    result == answer_result::good && times_.good(), now);
             adaptive_.on_answer({latency, times_.baseline(), in_flight});
-            times_.add(latency);
             break;
         case answer_result::refused_cold:
         case answer_result::failed:
--- a/include/filberthub/admission/service_time.hpp
+++ b/include/filberthub/admission/service_time.hpp
@@ -9,6 +9,8 @@
 
 #include <filberthub/base/types.hpp>
 
+#include <optional>
+
 namespace filberthub {
 
 // Keeps a moving mean and the baseline, the latency of a warm server without a
@@ -18,8 +20,9 @@
 public:
     explicit service_time(duration baseline);
 
-    // To be called for each complete answer.
-    void add(duration latency);
+    // To be called for each complete answer. `current` is whether the request
+    // was sent after the last `forget`.
+    void add(duration latency, bool current);
 
     duration mean() const
     {
@@ -38,21 +41,32 @@
         return baseline_ / 2;
     }
 
-    // Whether an answer counts as evidence for a further slot.
-    bool good(duration latency) const
+    // To be called when the state of the server becomes unknown: earlier
+    // answers say nothing about it.
+    void forget()
+    {
+        recent_.reset();
+    }
+
+    // Whether the recent answers are evidence for a further slot.
+    bool good() const
     {
-        return latency <= 2 * baseline_;
+        return recent_ && 2 * *recent_ <= 3 * baseline_;
     }
 
-    // Whether an answer says that the server is no longer the known one.
-    bool suspicious(duration latency) const
+    // Whether the recent answers say that the server is no longer the known
+    // one.
+    bool suspicious() const
     {
-        return latency > 3 * baseline_;
+        return recent_ && *recent_ > 2 * baseline_;
     }
 
 private:
     duration baseline_;
     duration mean_;
+    // Moving mean since the last `forget`. A single answer is no evidence: of
+    // lognormal answers with sigma 0.5, 5% are over 2 times the mean.
+    std::optional<duration> recent_;
 };
 
 } // namespace filberthub
