Assemble documents from the root, and bound what a proposal writes

The root repeats author and nonce for the last 16 writers and each entry, and an object holds at most 1 MB, so both texts and the root as a whole are bounded. An author that is not valid UTF-8 would have thrown while the root was written. Messages about a section are cut after 1000 bytes, because they contain the value seen.

--- a/include/filberthub/policy/policy_root.hpp
+++ b/include/filberthub/policy/policy_root.hpp
@@ -2,7 +2,8 @@
 // section, what is out of service, and the last writers.
 //
 //     policy_root root = policy_root_from_text(text);
-//     std::string path = section_path(id, root.sections.at(id).digest);
+//     if (missing_sections(root, bodies).empty())
+//         policy_document document = assemble(root, bodies);
 
 #ifndef FILBERTHUB_POLICY_POLICY_ROOT_HPP
 #define FILBERTHUB_POLICY_POLICY_ROOT_HPP
@@ -84,6 +85,21 @@
 policy_root policy_root_from_text(std::string_view text);
 std::string to_text(const policy_root& root);
 
+// Bodies of sections by their digest.
+using policy_bodies = std::map<std::string, json>;
+
+// Parses the body with this digest. Throws `error` of kind `bad_policy` if the
+// text has another digest or is not JSON.
+json parse_body(const std::string& digest, std::string_view text);
+
+// Returns the sections of `root` whose bodies are not in `bodies`.
+std::vector<section_id> missing_sections(
+    const policy_root& root, const policy_bodies& bodies);
+
+// Returns the checked document that `root` describes. To be called once no
+// section is missing. Throws `error` of kind `bad_policy`.
+policy_document assemble(const policy_root& root, const policy_bodies& bodies);
+
 // Returns the store path of the immutable body of a section.
 std::string section_path(const section_id& section, const std::string& digest);
 
--- a/include/filberthub/policy/proposal.hpp
+++ b/include/filberthub/policy/proposal.hpp
@@ -49,9 +49,11 @@
 struct proposal_request
 {
     policy_change change;
-    // Who proposes, for the message to those who lose against this change.
+    // Who proposes, for the message to those who lose against this change; 1 to
+    // 100 bytes.
     std::string author;
-    // Random text, different in each proposal. At least 64 random bits.
+    // Random text, different in each proposal. At least 64 random bits in at
+    // most 64 bytes.
     std::string nonce;
     // The revision that the author saw. A later change of the same subject
     // wins. Without it, the first revision that is read counts.
@@ -194,7 +196,7 @@
     // Canonical text and digest of the proposed body.
     std::string text_;
     std::string digest_;
-    std::map<std::string, json> bodies_;
+    policy_bodies bodies_;
     bool is_body_written_ = false;
     // The root that the present attempt starts from.
     root_was_read seen_;
--- a/src/policy/policy_root.cpp
+++ b/src/policy/policy_root.cpp
@@ -179,6 +179,45 @@
     return document.dump();
 }
 
+json parse_body(const std::string& digest, std::string_view text)
+{
+    const std::string seen = digest_of(text);
+    if (seen != digest) {
+        throw error(error_kind::bad_policy, "body of a section: digest " +
+                                                seen + " is not the expected " +
+                                                digest);
+    }
+    return parse_policy_text(text);
+}
+
+std::vector<section_id> missing_sections(
+    const policy_root& root, const policy_bodies& bodies)
+{
+    std::vector<section_id> missing;
+    for (const auto& [id, entry] : root.sections) {
+        if (!entry.digest.empty() && !bodies.contains(entry.digest))
+            missing.push_back(id);
+    }
+    return missing;
+}
+
+policy_document assemble(const policy_root& root, const policy_bodies& bodies)
+{
+    std::map<section_id, json> sections;
+    for (const auto& [id, entry] : root.sections) {
+        if (entry.digest.empty())
+            continue;
+        const auto body = bodies.find(entry.digest);
+        if (body == bodies.end()) {
+            throw error(error_kind::bad_policy,
+                "section \"" + id.value() + "\": the body with digest " +
+                    entry.digest + " is missing");
+        }
+        sections.emplace(id, body->second);
+    }
+    return check_policy(sections, root.out_of_service());
+}
+
 std::string section_path(const section_id& section, const std::string& digest)
 {
     return "policy/sections/" + section.value() + "/" + digest;
--- a/src/policy/proposal.cpp
+++ b/src/policy/proposal.cpp
@@ -12,6 +12,43 @@
     return std::to_string(number.value());
 }
 
+bool is_utf8(const std::string& text)
+{
+    try {
+        json(text).dump();
+        return true;
+    } catch (const json::type_error&) {
+        return false;
+    }
+}
+
+void check_size(const std::string& what, std::size_t size, std::size_t maximum)
+{
+    if (size == 0 || size > maximum) {
+        throw error(error_kind::bad_policy,
+            what + ": " + std::to_string(size) +
+                " bytes are not between 1 and " + std::to_string(maximum));
+    }
+}
+
+// The root repeats these texts for the last 16 writers and for each entry, and
+// the store holds at most 1 MB.
+void check_request(const proposal_request& request)
+{
+    check_size("author", request.author.size(), 100);
+    check_size("nonce", request.nonce.size(), 64);
+    if (!is_utf8(request.author) || !is_utf8(request.nonce))
+        throw error(error_kind::bad_policy, "author or nonce: not valid UTF-8");
+    if (const auto* set = std::get_if<set_section>(&request.change))
+        check_section(set->section, set->body);
+    if (const auto* set = std::get_if<remove_section>(&request.change))
+        check_name(set->section.value(), "section");
+    if (const auto* set = std::get_if<set_domain>(&request.change))
+        check_name(set->domain.value(), "failure domain");
+    if (const auto* set = std::get_if<set_instance>(&request.change))
+        check_name(set->instance.value(), "instance");
+}
+
 std::string describe(const change_mark& mark)
 {
     return "revision " + text_of(mark.accepted) + " by \"" + mark.author + "\"";
@@ -48,10 +85,7 @@
 {
     // A fault of the section itself is found without a store call.
     try {
-        if (const auto* set = std::get_if<set_section>(&request_.change))
-            check_section(set->section, set->body);
-        if (const auto* set = std::get_if<set_instance>(&request_.change))
-            check_name(set->instance.value(), subject_of(request_.change));
+        check_request(request_);
     } catch (const error& failure) {
         return step(
             result(proposal_outcome::invalid, revision(), failure.what()));
@@ -165,7 +199,7 @@
     if (digest_of(text) != call.digest)
         return repeat();
     try {
-        bodies_.emplace(call.digest, parse_policy_text(text));
+        bodies_.emplace(call.digest, parse_body(call.digest, text));
     } catch (const error& failure) {
         return step(result(proposal_outcome::invalid, revision(),
             "section \"" + call.section.value() + "\": " + failure.what()));
@@ -248,11 +282,11 @@
 
 std::optional<proposal_step> proposal::missing_body() const
 {
-    for (const auto& [id, entry] : changed_root().sections) {
-        if (!entry.digest.empty() && !bodies_.contains(entry.digest))
-            return read_body{id, entry.digest};
-    }
-    return std::nullopt;
+    const policy_root root = changed_root();
+    const auto missing = missing_sections(root, bodies_);
+    if (missing.empty())
+        return std::nullopt;
+    return read_body{missing.front(), root.sections.at(missing.front()).digest};
 }
 
 // Two changes of different sections can each be good and still contradict each
@@ -260,17 +294,12 @@
 std::optional<proposal_result> proposal::check_merged() const
 {
     const policy_root root = changed_root();
-    std::map<section_id, json> sections;
-    for (const auto& [id, entry] : root.sections) {
-        if (!entry.digest.empty())
-            sections.emplace(id, bodies_.at(entry.digest));
-    }
     try {
-        const policy_document document =
-            check_policy(sections, root.out_of_service());
+        const policy_document document = assemble(root, bodies_);
         const auto* set = std::get_if<set_domain>(&request_.change);
         if (set != nullptr && set->out_of_service)
             document.check_domain(set->domain);
+        check_size("policy root", to_text(root).size(), maximum_section_bytes);
     } catch (const error& failure) {
         return result(proposal_outcome::invalid, revision(),
             "checked with revision " + text_of(seen_.root.number) + ": " +
--- a/src/policy/section.cpp
+++ b/src/policy/section.cpp
@@ -15,6 +15,7 @@
 // Bodies of peer messages are limited to 32 MiB, so a policy cannot allow more.
 constexpr std::int64_t largest_body = 32LL * 1024 * 1024;
 constexpr std::size_t maximum_depth = 16;
+constexpr std::size_t maximum_message_bytes = 1000;
 
 std::uint32_t read_count(json_reader& reader, const std::string& field,
     std::uint32_t fallback, std::int64_t minimum, std::int64_t maximum)
@@ -285,7 +286,11 @@
     try {
         return read_section(id, body);
     } catch (const error& failure) {
-        throw error(error_kind::bad_policy, where + ": " + failure.what());
+        // The message contains the value seen, which can be the whole section.
+        std::string message = failure.what();
+        if (message.size() > maximum_message_bytes)
+            message.resize(maximum_message_bytes);
+        throw error(error_kind::bad_policy, where + ": " + message);
     }
 }
 
--- a/test/policy/proposal_test.cpp
+++ b/test/policy/proposal_test.cpp
@@ -211,6 +211,33 @@
         refused.message, "section \"s\": field \"/team\": 1 is not a string");
 }
 
+// Guards against a root that outgrows the store, or that cannot be written.
+TEST(Proposal, RefusesAuthorsAndNoncesThatTheRootCannotHold)
+{
+    for (const std::string author : {"", "\xff"}) {
+        proposal change({remove_section{section_id("s")}, author, "own"});
+        EXPECT_EQ(result_of(change.start()).outcome, proposal_outcome::invalid);
+    }
+    proposal change(set_team("t", std::string(65, 'n')));
+    EXPECT_EQ(result_of(change.start()).message,
+        "nonce: 65 bytes are not between 1 and 64");
+}
+
+// Guards against a store that gives the body of another digest.
+TEST(Proposal, ReadsABodyAgainWhenItHasAnotherDigest)
+{
+    policy_root root = root_with_writers(1);
+    const std::string text = R"({"team":"other"})";
+    root.sections[section_id("a")] = {digest_of(text), root.writers[0].mark};
+    proposal change(set_team("t", "own"));
+    change.start();
+    change.next(root_was_read{object_version(1), root});
+    EXPECT_TRUE(
+        std::holds_alternative<read_body>(change.next(body_was_read{"{}"})));
+    EXPECT_TRUE(
+        std::holds_alternative<write_body>(change.next(body_was_read{text})));
+}
+
 TEST(Proposal, RefusesAnUnknownFailureDomain)
 {
     proposal change(
