--- a/include/filberthub/ownership/ownership_table.hpp
+++ b/include/filberthub/ownership/ownership_table.hpp
@@ -100,6 +100,16 @@
     auto operator<=>(const earlier_owner&) const = default;
 };
 
+// A release that the primary of a group waits for. It counts only with `token`
+// or a higher one, because the server may have owned the group again since.
+struct pending_release
+{
+    server_index server;
+    group_token token;
+
+    bool operator==(const pending_release&) const = default;
+};
+
 // Guarantees that each group has exactly one primary, and that the backup is
 // another server than the primary. Only version 0 has no primaries.
 class ownership_table
@@ -161,8 +171,9 @@
         return earlier_;
     }
     // Returns the servers which have to release `group`, or whose holders'
-    // leases have to expire, before its primary may serve it.
-    std::vector<server_index> servers_to_release(key_group group) const;
+    // leases have to expire, before its primary may serve it. Each server is
+    // listed once, with the token of the last move that replaced it.
+    std::vector<pending_release> releases_before(key_group group) const;
 
     bool operator==(const ownership_table& other) const;
 
--- a/src/ownership/ownership_planner.cpp
+++ b/src/ownership/ownership_planner.cpp
@@ -223,7 +223,9 @@
 {
     const double capacity = state.mean_capacity();
     const auto settled = [&](key_group group) {
-        return state.builder.draft().at(group).previous == no_server;
+        const assignment& owner = state.builder.draft().at(group);
+        return state.usable(owner.primary) &&
+               version_of_token(owner.token) <= hints.settled;
     };
     const std::vector<hot_key> hot_keys = state.builder.draft().hot_keys();
     for (const hot_key& entry : hot_keys) {
@@ -231,8 +233,7 @@
         const key_group common = group_of(entry.key, table.groups());
         if (weights.at(entry.group) < limits.rejoin_share * capacity &&
             settled(entry.group) && settled(common) &&
-            table.at(common).primary == entry.owner.primary &&
-            state.usable(entry.owner.primary)) {
+            table.at(common).primary == entry.owner.primary) {
             state.builder.rejoin(entry.group);
             state.isolation_changed = true;
         }
@@ -243,8 +244,7 @@
         const key_group group = table.group_of_key(entry.key);
         if (entry.weight <= limits.isolate_share * capacity ||
             table.hot_keys().size() >= limits.most_isolated ||
-            group.value() >= table.groups().value() || !settled(group) ||
-            table.at(group).primary == no_server)
+            group.value() >= table.groups().value() || !settled(group))
             continue;
         state.builder.isolate(entry.key);
         isolated.push_back(entry);
--- a/src/ownership/ownership_table.cpp
+++ b/src/ownership/ownership_table.cpp
@@ -85,22 +85,29 @@
     return server_index(static_cast<std::uint16_t>(found - servers_.begin()));
 }
 
-std::vector<server_index> ownership_table::servers_to_release(
+std::vector<pending_release> ownership_table::releases_before(
     key_group group) const
 {
     const assignment& owner = at(group);
-    std::vector<server_index> result;
-    if (owner.previous != no_server)
-        result.push_back(owner.previous);
-    auto entry =
-        std::ranges::lower_bound(earlier_, group, {}, &earlier_owner::group);
-    for (; entry != earlier_.end() && entry->group == group; ++entry) {
+    std::vector<pending_release> result;
+    const auto add = [&](server_index server, group_token token) {
         // The primary itself may be an earlier owner, too: its own release is
         // not awaited, since the same holder admits its work.
-        if (entry->server != owner.primary &&
-            std::ranges::find(result, entry->server) == result.end())
-            result.push_back(entry->server);
-    }
+        if (server == no_server || server == owner.primary)
+            return;
+        for (pending_release& entry : result) {
+            if (entry.server == server) {
+                entry.token = std::max(entry.token, token);
+                return;
+            }
+        }
+        result.push_back({server, token});
+    };
+    add(owner.previous, owner.token);
+    auto entry =
+        std::ranges::lower_bound(earlier_, group, {}, &earlier_owner::group);
+    for (; entry != earlier_.end() && entry->group == group; ++entry)
+        add(entry->server, entry->token);
     return result;
 }
 
--- a/src/ownership/planner_state.cpp
+++ b/src/ownership/planner_state.cpp
@@ -73,7 +73,8 @@
 planner_state::planner_state(const ownership_table& table,
     std::span<const planned_server> servers, const plan_hints& hints)
     : builder(table, table.version().next()),
-      servers_(servers.begin(), servers.end())
+      servers_(servers.begin(), servers.end()),
+      settled_(hints.settled)
 {
     check(servers);
     builder.settle(hints.settled);
@@ -116,7 +117,8 @@
     const ownership_table& table = builder.draft();
     const auto add = [&](key_group id, const assignment& owner) {
         groups.push_back({id, std::max(weights.at(id), 0.0), owner.primary,
-            owner.primary, owner.backup, owner.previous == no_server});
+            owner.primary, owner.backup, owner.backup,
+            version_of_token(owner.token) <= settled_});
     };
     groups.reserve(table.groups().value() + table.hot_keys().size());
     for (std::uint32_t number = 0; number < table.groups().value(); ++number)
@@ -266,6 +268,10 @@
     bool unsettled = false;
     for (const planned_group& group : groups) {
         if (group.primary != group.old_primary) {
+            // The backup that serves the group has to release it, too.
+            if (group.old_backup != no_server &&
+                slot(group.old_primary).backups_serve)
+                builder.move(group.id, group.old_backup);
             builder.move(group.id, group.primary);
             moves.push_back({group.id, group.old_primary, group.primary});
         }
--- a/src/ownership/planner_state.hpp
+++ b/src/ownership/planner_state.hpp
@@ -18,8 +18,11 @@
     // The primary in the old table and in the plan.
     server_index old_primary = no_server;
     server_index primary = no_server;
+    server_index old_backup = no_server;
     server_index backup = no_server;
-    // Its last move is settled, so that it may move for balance.
+    // All holders know its token, so that it may move for balance. A key that
+    // was just isolated, or a group that it rejoined, has a new token without a
+    // move: work under the other group's number may still be in progress.
     bool settled = true;
 };
 
@@ -91,6 +94,7 @@
     void remove_unused_servers(std::span<const planned_server> servers);
 
     std::vector<planned_server> servers_;
+    table_version settled_;
     double usable_capacity_ = 0;
     double mean_ = 0;
     std::uint32_t usable_domains_ = 0;
--- a/test/ownership/ownership_planner_test.cpp
+++ b/test/ownership/ownership_planner_test.cpp
@@ -142,6 +142,21 @@
         EXPECT_EQ(move.to, old.at(move.group).backup);
 }
 
+// Guards against a new owner beside a backup that took over without a commit.
+TEST_F(PlannedService, AwaitsTheBackupsThatServeGroupsOfARetiredServer)
+{
+    const key_group group(7);
+    const assignment old = table.at(group);
+    servers[old.primary.value()].state = server_state::lost;
+    servers[old.primary.value()].backups_serve = true;
+    servers[old.backup.value()].state = server_state::leaving;
+    plan_settled();
+    const group_token token = table.at(group).token;
+    EXPECT_THAT(table.releases_before(group),
+        ::testing::ElementsAre(pending_release{old.backup, token},
+            pending_release{old.primary, token}));
+}
+
 // Guards against holders that start a group whose old owner still works on it.
 TEST_F(PlannedService, MovesUnsettledGroupsOnlyWhenTheirServerIsLost)
 {
@@ -154,8 +169,10 @@
         EXPECT_NE(other.group, move.group);
     servers[move.to.value()].state = server_state::lost;
     plan({{}, first});
-    EXPECT_THAT(table.servers_to_release(move.group),
-        ::testing::ElementsAre(move.to, move.from));
+    std::vector<server_index> awaited;
+    for (const pending_release& release : table.releases_before(move.group))
+        awaited.push_back(release.server);
+    EXPECT_THAT(awaited, ::testing::ElementsAre(move.to, move.from));
 }
 
 TEST_F(PlannedService, ForgetsTheMoveHistoryOnceWhenAllMovesAreSettled)
@@ -208,8 +225,11 @@
     const std::string key = "map-hot";
     const key_group common = group_of(key, groups);
     weights.set(common, 0.41);
-    const plan_result hot = plan({{{key, 0.4}}, table.version()});
+    const ownership_table before = table;
+    const plan_result hot = plan({{{key, 0.4}}, before.version()});
     ASSERT_EQ(table.hot_keys().size(), 1U);
+    // Work under the common group's number may still be in progress.
+    EXPECT_EQ(table.find(key).primary, before.find(key).primary);
     const key_group own = table.group_of_key(key);
     EXPECT_EQ(own, key_group(1024));
     EXPECT_LE(hot.imbalance_after, 1.08);
--- a/test/ownership/ownership_table_test.cpp
+++ b/test/ownership/ownership_table_test.cpp
@@ -57,15 +57,15 @@
         builder.move(group, server_index(static_cast<std::uint16_t>(version)));
         table = std::move(builder).build();
     }
-    EXPECT_THAT(table.servers_to_release(group),
-        ElementsAre(server_index(2), server_index(0)));
+    const pending_release second{server_index(2), group_token(6)};
+    EXPECT_THAT(table.releases_before(group),
+        ElementsAre(second, pending_release{server_index(0), group_token(4)}));
 
     ownership_table_builder builder(table, table_version(4));
     builder.settle(table_version(2));
-    EXPECT_THAT(builder.draft().servers_to_release(group),
-        ElementsAre(server_index(2)));
+    EXPECT_THAT(builder.draft().releases_before(group), ElementsAre(second));
     builder.settle(table_version(3));
-    EXPECT_THAT(builder.draft().servers_to_release(group), IsEmpty());
+    EXPECT_THAT(builder.draft().releases_before(group), IsEmpty());
 }
 
 // Guards against a backup whose work is refused, or a returning primary whose
