Require 32 good answers per slot and double them after a failed ramp

Cause: the evidence ramp added the second slot after one good answer, before a cold server was warm. The server failed, became cold again and was overloaded in a loop.

--- a/include/filberthub/admission/load_experiment.hpp
+++ b/include/filberthub/admission/load_experiment.hpp
@@ -56,6 +56,9 @@
                 selector.update(index, gates_[index].summary(world.now()));
             }
         }
+        world.on_restart([this](std::size_t index) {
+            gates_[index].on_connection_reset(world_.now());
+        });
         on_tick(0);
     }
 
--- a/include/filberthub/admission/ramp.hpp
+++ b/include/filberthub/admission/ramp.hpp
@@ -1,7 +1,7 @@
 // Ramps: how many slots a backend server in cold start may use.
 //
 //     evidence_ramp ramp;
-//     ramp.reset(now);                       // limit 1
+//     ramp.reset(now, false);                // limit 1
 //     ramp.on_answer(true, now);             // one good answer
 //     unsigned limit = ramp.limit(slots, now);
 
@@ -16,15 +16,16 @@
 
 namespace filberthub {
 
-// `reset` is called when the state of the server becomes unknown, `on_answer`
+// `reset` is called when the state of the server becomes unknown, with whether
+// the server failed or refused (rather than became slow), `on_answer`
 // for each answer to a request that was sent after the last reset, and `limit`
 // returns at least 1 and at most `slots`.
 template <class Ramp>
 concept ramp_policy = std::copyable<Ramp> && requires(
-    Ramp ramp, const Ramp constant, bool good, unsigned slots, time_point now)
+    Ramp ramp, const Ramp constant, bool flag, unsigned slots, time_point now)
 {
-    ramp.reset(now);
-    ramp.on_answer(good, now);
+    ramp.reset(now, flag);
+    ramp.on_answer(flag, now);
     {
         constant.limit(slots, now)
         } -> std::same_as<unsigned>;
@@ -35,7 +36,7 @@
 class no_ramp
 {
 public:
-    void reset(time_point) {}
+    void reset(time_point, bool) {}
     void on_answer(bool, time_point) {}
 
     unsigned limit(unsigned slots, time_point) const
@@ -51,7 +52,7 @@
     explicit linear_ramp(duration step = std::chrono::seconds(1)) : step_(step)
     {}
 
-    void reset(time_point now)
+    void reset(time_point now, bool)
     {
         start_ = now;
     }
@@ -68,30 +69,42 @@
     time_point start_;
 };
 
-// Adds one slot after `answers_per_slot` times the present limit consecutive
-// good answers. A bad answer starts the count again but keeps the limit.
+// Adds one slot after `evidence` times the present limit consecutive good
+// answers. A bad answer starts the count again but keeps the limit.
+//
+// A cold start can last longer than the evidence shows. If the server fails
+// after a step, but within 4096 answers of the reset, the next ramp needs twice
+// the evidence.
 class evidence_ramp
 {
 public:
-    explicit evidence_ramp(unsigned answers_per_slot = 1)
-        : answers_per_slot_(answers_per_slot)
+    explicit evidence_ramp(unsigned evidence = 32)
+        : evidence_(evidence), needed_(evidence)
     {}
 
-    void reset(time_point)
+    void reset(time_point, bool failed)
     {
+        if (answers_ >= trusted_after)
+            needed_ = evidence_;
+        else if (failed && limit_ > 1)
+            needed_ = std::min(2 * needed_, max_needed);
+        answers_ = 0;
         limit_ = 1;
         good_ = 0;
     }
 
     void on_answer(bool good, time_point)
     {
+        answers_ = std::min(answers_ + 1, trusted_after);
         good_ = good ? good_ + 1 : 0;
-        if (good_ < limit_ * answers_per_slot_)
+        if (good_ < limit_ * needed_)
             return;
+        good_ = 0;
         // The limit may exceed the slots; it is bounded so that it cannot
         // overflow.
-        limit_ = std::min(limit_ + 1, 1U << 16U);
-        good_ = 0;
+        if (limit_ == max_limit)
+            return;
+        ++limit_;
     }
 
     unsigned limit(unsigned slots, time_point) const
@@ -100,9 +113,16 @@
     }
 
 private:
-    unsigned answers_per_slot_;
+    static constexpr unsigned trusted_after = 4096;
+    static constexpr unsigned max_needed = 1024;
+    static constexpr unsigned max_limit = 1024;
+
+    unsigned evidence_;
+    unsigned needed_;
     unsigned limit_ = 1;
     unsigned good_ = 0;
+    // Since the last reset.
+    unsigned answers_ = 0;
 };
 
 } // namespace filberthub
--- a/include/filberthub/admission/server_gate.hpp
+++ b/include/filberthub/admission/server_gate.hpp
@@ -57,7 +57,7 @@
           queue_(std::size_t{settings.places_per_slot} * settings.slots)
     {
         adaptive_.start(settings.slots);
-        forget(now);
+        forget(now, false);
     }
 
     // To be called for each request that wants to go to the server.
@@ -149,7 +149,7 @@
     gate_changes set_out_of_service(bool out, time_point now)
     {
         if (out_of_service_ && !out)
-            forget(now);
+            forget(now, false);
         out_of_service_ = out;
         if (!out)
             return {};
@@ -162,7 +162,7 @@
     void on_report(const load_report& report, time_point now)
     {
         if (report.cold)
-            forget(now);
+            forget(now, false);
         else if (report.utilization > 1.0)
             adaptive_.lower_to(static_cast<unsigned>(
                 static_cast<double>(limit(now)) / report.utilization));
@@ -171,7 +171,7 @@
     // To be called when the server closes a connection unasked or refuses one.
     void on_connection_reset(time_point now)
     {
-        forget(now);
+        forget(now, true);
     }
 
     // Requests that may be at the server at a time.
@@ -210,9 +210,9 @@
         return {verdict::refuse, reason, {}};
     }
 
-    void forget(time_point now)
+    void forget(time_point now, bool failed)
     {
-        ramp_.reset(now);
+        ramp_.reset(now, failed);
         times_.forget();
         unknown_since_ = now;
     }
@@ -257,7 +257,7 @@
         case answer_result::timed_out:
             times_.add(latency, current);
             if (current && times_.suspicious())
-                forget(now);
+                forget(now, false);
             else if (current)
                 ramp_.on_answer(
                     result == answer_result::good && times_.good(), now);
@@ -265,7 +265,7 @@
             break;
         case answer_result::refused_cold:
         case answer_result::failed:
-            forget(now);
+            forget(now, true);
             adaptive_.on_overload();
             break;
         case answer_result::refused_busy:
--- a/include/filberthub/admission/service_time.hpp
+++ b/include/filberthub/admission/service_time.hpp
@@ -58,7 +58,7 @@
     // one.
     bool suspicious() const
     {
-        return recent_ && *recent_ > 2 * baseline_;
+        return recent_ && *recent_ > 3 * baseline_;
     }
 
 private:
