--- a/include/filberthub/http/decoder.hpp
+++ b/include/filberthub/http/decoder.hpp
@@ -21,8 +21,8 @@
 // Sizes in bytes above which a message is refused.
 struct http_limits
 {
-    std::size_t head_bytes = 16 * 1024;
-    std::size_t body_bytes = 32 * 1024 * 1024;
+    std::size_t head_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{32} * 1024 * 1024;
 };
 
 // Turns the bytes of one connection into requests. It holds at most the head
--- a/include/filberthub/net/http_client.hpp
+++ b/include/filberthub/net/http_client.hpp
@@ -47,8 +47,14 @@
     std::size_t max_connections = 2;
     http_limits limits;
     milliseconds connect_timeout{1000};
+    // Whether each request carries a number in `Filberthub-Exchange`. A server
+    // that echoes the field cannot have a late answer taken for that of the
+    // next request on the connection.
+    bool number_exchanges = false;
 };
 
+inline constexpr const char* exchange_header = "Filberthub-Exchange";
+
 namespace detail {
 class client_connection;
 }
--- /dev/null
+++ b/src/app/check.cpp
@@ -0,0 +1,52 @@
+#include "app/command_line.hpp"
+
+#include <filberthub/policy/policy_document.hpp>
+#include <filberthub/policy/settings.hpp>
+
+#include <filesystem>
+#include <iostream>
+
+namespace filberthub::detail {
+
+exit_code check_command(const arguments& args)
+{
+    TCLAP::CmdLine line("Checks a settings file, and the sections of a policy "
+                        "document before they are proposed. The name of a "
+                        "section is that of its file.",
+        ' ', program_version);
+    const TCLAP::ValueArg<std::string> settings_path(
+        "s", "settings", "Settings file", false, "", "FILE", line);
+    const TCLAP::UnlabeledMultiArg<std::string> section_paths(
+        "sections", "Section files", false, "FILE", line);
+    parse(line, "check", args);
+
+    bool valid = true;
+    const auto report = [&](const std::string& what, const auto& action) {
+        try {
+            action();
+            std::cout << what << ": valid\n";
+        } catch (const error& failure) {
+            valid = false;
+            std::cerr << what << ": " << failure.what() << '\n';
+        }
+    };
+    if (settings_path.isSet()) {
+        const std::string text = read_file(settings_path.getValue());
+        report(settings_path.getValue(), [&] { settings::from_text(text); });
+    }
+    std::map<section_id, json> sections;
+    for (const std::string& path : section_paths.getValue()) {
+        const std::string text = read_file(path);
+        const section_id id(std::filesystem::path(path).stem().string());
+        report(path, [&] {
+            json body = parse_policy_text(text);
+            check_section(id, body);
+            sections.emplace(id, std::move(body));
+        });
+    }
+    if (valid && !sections.empty())
+        report("all sections together", [&] { check_policy(sections); });
+    return valid ? exit_code::ok : exit_code::refused;
+}
+
+} // namespace filberthub::detail
--- /dev/null
+++ b/src/app/status.cpp
@@ -0,0 +1,62 @@
+#include "app/command_line.hpp"
+
+#include <iostream>
+
+namespace filberthub::detail {
+namespace {
+
+std::string text_of(const json& value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+void print_status(const json& status)
+{
+    for (const char* field :
+        {"instance", "incarnation", "failure_domain", "policy_revision",
+            "fleet_version", "lease_held", "may_send", "leaving"})
+        std::cout << field << ": " << text_of(status.at(field)) << '\n';
+    std::cout << "ownership tables:\n";
+    for (const auto& item : status.at("ownership").items())
+        std::cout << "  " << item.key() << " version " << item.value() << '\n';
+    std::cout << "held servers:\n";
+    for (const json& held : status.at("held")) {
+        std::cout << "  " << text_of(held.at("server")) << " limit "
+                  << held.at("limit") << " in flight " << held.at("in_flight")
+                  << " waiting " << held.at("waiting")
+                  << (held.at("lost").get<bool>() ? " LOST" : "") << '\n';
+    }
+    std::cout << "members:\n";
+    for (const json& member : status.at("members")) {
+        std::cout << "  " << text_of(member.at("instance")) << " in "
+                  << text_of(member.at("failure_domain"))
+                  << (member.at("ready").get<bool>() ? "" : " joining") << '\n';
+    }
+}
+
+} // namespace
+
+exit_code status_command(const arguments& args)
+{
+    TCLAP::CmdLine line("Shows the revisions that an instance has in force, "
+                        "the servers it holds and the members it knows.",
+        ' ', program_version);
+    const TCLAP::ValueArg<std::string> address("o", "operator",
+        "Operator address of the instance", true, "", "IP:PORT", line);
+    const TCLAP::SwitchArg as_json("j", "json", "Print JSON", line);
+    parse(line, "status", args);
+
+    http_request request;
+    request.target = "/v1/status";
+    const auto response =
+        call_operator(endpoint_from_string(address.getValue()), request);
+    if (!response || response->status != 200)
+        return exit_code::unavailable;
+    if (as_json.getValue())
+        std::cout << response->body << '\n';
+    else
+        print_status(parse_json(response->body, error_kind::internal));
+    return exit_code::ok;
+}
+
+} // namespace filberthub::detail
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -65,6 +65,10 @@
         call.connection = this;
         call.sent = true;
         decoder_.begin(call.request.method == "HEAD");
+        if (client_.options_.number_exchanges) {
+            call.request.headers.set(
+                exchange_header, std::to_string(number.value()));
+        }
         const std::string bytes = encode(call.request);
         socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
     }
@@ -138,6 +142,7 @@
     {
         const bool reusable = response.keep_alive && !decoder_.has_excess();
         const call_number number = number_;
+        check_exchange(response);
         busy_ = false;
         if (!reusable)
             close("not reusable", false);
@@ -148,6 +153,20 @@
         client_.dispatch();
     }
 
+    // An answer with the number of another request came late or crossed.
+    void check_exchange(http_response& response) const
+    {
+        if (!client_.options_.number_exchanges)
+            return;
+        const auto seen = response.headers.get(exchange_header);
+        if (seen && *seen != std::to_string(number_.value())) {
+            throw error(error_kind::bad_backend_answer,
+                "the answer has exchange number " + std::string(*seen) +
+                    ", expected " + std::to_string(number_.value()));
+        }
+        response.headers.remove(exchange_header);
+    }
+
     void fail(const error& failure)
     {
         const call_number number = number_;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -9,10 +9,10 @@
 
 // Bytes read from the kernel and not yet decoded; the rest stays in the kernel
 // and slows the caller down.
-constexpr qint64 read_buffer_bytes = 256 * 1024;
+constexpr qint64 read_buffer_bytes = qint64{256} * 1024;
 // Bytes of answers that a slow caller may leave unread before its next request
 // is taken.
-constexpr qint64 unread_answer_bytes = 1024 * 1024;
+constexpr qint64 unread_answer_bytes = qint64{1024} * 1024;
 
 } // namespace
 
--- /dev/null
+++ b/src/node/entry_service.cpp
@@ -0,0 +1,348 @@
+#include "node/entry_service.hpp"
+
+#include "node/clock.hpp"
+
+#include <algorithm>
+
+namespace filberthub {
+namespace {
+
+constexpr milliseconds tick_interval{5};
+// Time between two attempts while an owner or a holder is being replaced.
+constexpr milliseconds retry_pause{20};
+// A holder answers at the deadline; its answer needs some time on the way.
+constexpr milliseconds answer_allowance{25};
+
+// Refusals that a later attempt at another holder or with a newer table can
+// avoid. They do not count against the retry budget, because no server saw the
+// request.
+bool is_routing_failure(error_kind kind)
+{
+    return kind == error_kind::no_holder || kind == error_kind::not_owner ||
+           kind == error_kind::lease_lapsed ||
+           kind == error_kind::shutting_down;
+}
+
+} // namespace
+
+entry_service::entry_service(entry_environment environment)
+    : environment_(std::move(environment)),
+      random_(std::hash<instance_id>()(environment_.self))
+{
+    timer_.setTimerType(Qt::PreciseTimer);
+    connect(&timer_, &QTimer::timeout, this, [this] { tick(clock_now()); });
+    timer_.start(tick_interval);
+}
+
+void entry_service::set_membership(fleet_service& fleet,
+    holder_service& holders, ownership_service& ownership,
+    policy_service& policy, peer_hub& hub)
+{
+    environment_.fleet = &fleet;
+    environment_.holders = &holders;
+    environment_.ownership = &ownership;
+    environment_.policy = &policy;
+    environment_.hub = &hub;
+}
+
+void entry_service::accept(std::shared_ptr<http_exchange> exchange)
+{
+    ++counters_.received;
+    const time_point now = clock_now();
+    auto request = std::make_shared<entry_request>();
+    request->exchange = std::move(exchange);
+    request->policy = environment_.policy->document();
+    last_ = last_.next();
+    request->attempt = last_;
+    requests_.emplace(last_, request);
+    try {
+        if (!request->policy)
+            throw error(error_kind::no_holder, "no policy is in force yet");
+        request->parsed = parse_request(
+            std::move(request->exchange->request()), *request->policy);
+    } catch (const error& failure) {
+        fail(request, failure.kind(), failure.what());
+        return;
+    }
+    request->deadline = now + request->parsed.deadline;
+    budget_.on_request();
+    request->exchange->on_cancelled([this, request] { cancel(request); });
+    start(request, now);
+}
+
+void entry_service::start(const request_ptr& request, time_point now)
+{
+    request->waiting = false;
+    try {
+        choose_server(*request);
+    } catch (const error& failure) {
+        answer_message answer;
+        answer.kind = failure.kind();
+        answer.message = failure.what();
+        on_attempt_answer(request, std::move(answer), now);
+        return;
+    }
+    send(request, now);
+}
+
+void entry_service::choose_server(entry_request& request)
+{
+    forward_message& message = request.parsed.message;
+    const service_policy& service = *request.parsed.service;
+    if (message.keyed) {
+        const ownership_table* table =
+            environment_.ownership->find(message.service);
+        if (table == nullptr)
+            throw error(error_kind::no_holder, "no ownership table of \"" +
+                                                   message.service.value() +
+                                                   "\" is known yet");
+        route_by_key(request.parsed, *table);
+        return;
+    }
+    if (!message.idempotent) {
+        message.server = home_order(service, message.id).front()->id;
+        return;
+    }
+    message.server = choose_by_load(service);
+}
+
+// Chooses the better of two random servers in service by expected wait.
+backend_server_id entry_service::choose_by_load(const service_policy& service)
+{
+    const shared_policy document = environment_.policy->document();
+    std::vector<const backend_server*> candidates;
+    for (const backend_server& server : service.servers) {
+        const auto load = loads_.find(server.id);
+        const bool closed = load != loads_.end() && load->second.limit == 0;
+        if (document->in_service(server.domain) && !closed)
+            candidates.push_back(&server);
+    }
+    if (candidates.empty()) {
+        loads_.clear();
+        throw error(error_kind::no_holder,
+            "no server of \"" + service.name.value() + "\" is available");
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
+    const auto expected_wait = [&](const backend_server* server) {
+        const server_load load = loads_[server->id];
+        const double ahead = load.in_flight + load.waiting + 1.0;
+        return ahead * load.latency_us / std::max(1U, load.limit);
+    };
+    const backend_server* first = candidates[pick(random_)];
+    const backend_server* second = candidates[pick(random_)];
+    return expected_wait(second) < expected_wait(first) ? second->id
+                                                        : first->id;
+}
+
+std::optional<instance_id> entry_service::choose_instance(
+    const backend_server_id& server) const
+{
+    const fleet_table_ptr& table = environment_.fleet->table();
+    if (environment_.holders->holds(server))
+        return environment_.self;
+    if (!table)
+        return std::nullopt;
+    const auto places = table->holders(server);
+    if (places.empty())
+        return std::nullopt;
+    const auto position = positions_.find(server);
+    const std::size_t index =
+        position == positions_.end() ? 0 : position->second;
+    return places[index % places.size()].member.instance;
+}
+
+void entry_service::send(const request_ptr& request, time_point now)
+{
+    forward_message& message = request->parsed.message;
+    const auto remaining =
+        std::chrono::floor<milliseconds>(request->deadline - now);
+    if (remaining < milliseconds(1)) {
+        fail(request,
+            request->may_have_run ? error_kind::outcome_unknown
+                                  : error_kind::deadline_exceeded_not_run,
+            "the deadline passed");
+        return;
+    }
+    message.remaining_ms = static_cast<std::uint32_t>(remaining.count());
+    requests_.erase(request->attempt);
+    last_ = last_.next();
+    request->attempt = last_;
+    requests_.emplace(last_, request);
+    message.number = last_;
+    ++request->attempts;
+
+    const std::optional<instance_id> target = choose_instance(message.server);
+    answer_message refused;
+    refused.kind = error_kind::no_holder;
+    if (!target) {
+        refused.message = "no instance holds " + message.server.value();
+        on_attempt_answer(request, std::move(refused), now);
+        return;
+    }
+    request->sent_to = *target;
+    if (*target == environment_.self) {
+        request->ticket = environment_.holders->submit(
+            message, [this, number = last_](answer_message answer) {
+                answer.number = number;
+                on_answer(std::move(answer));
+            });
+        return;
+    }
+    if (!environment_.hub->send(*target, message)) {
+        refused.message = "no link to " + target->value();
+        on_attempt_answer(request, std::move(refused), now);
+    }
+}
+
+void entry_service::on_answer(answer_message answer)
+{
+    const auto found = requests_.find(answer.number);
+    if (found == requests_.end())
+        return;
+    const request_ptr request = found->second;
+    on_attempt_answer(request, std::move(answer), clock_now());
+}
+
+void entry_service::on_attempt_answer(
+    const request_ptr& request, answer_message answer, time_point now)
+{
+    request->ticket.reset();
+    learn(request->parsed.message.server, answer);
+    if (answer.status != 0) {
+        http_response response;
+        response.status = answer.status;
+        for (const auto& [name, value] : answer.headers)
+            response.headers.add(name, value);
+        response.headers.set("Filberthub-Outcome", to_string(outcome::done));
+        response.body = std::move(answer.body);
+        ++counters_.done;
+        finish(request, std::move(response));
+        return;
+    }
+    request->sent_to.reset();
+    request->may_have_run = request->may_have_run ||
+                            answer_for(answer.kind).result != outcome::not_run;
+    if (retry(request, answer, now))
+        return;
+    const bool claims_not_run =
+        answer_for(answer.kind).result == outcome::not_run;
+    fail(request,
+        claims_not_run && request->may_have_run ? error_kind::outcome_unknown
+                                                : answer.kind,
+        answer.message);
+}
+
+// Plans a further attempt if one may follow. Returns whether it did.
+bool entry_service::retry(
+    const request_ptr& request, const answer_message& answer, time_point now)
+{
+    const bool not_run = answer_for(answer.kind).result == outcome::not_run;
+    const bool routing = is_routing_failure(answer.kind);
+    if (answer.kind == error_kind::duplicate_done ||
+        answer.kind == error_kind::duplicate_in_progress)
+        return false;
+    if (!not_run && !request->parsed.message.idempotent)
+        return false;
+    if (not_run && !answer_for(answer.kind).retryable)
+        return false;
+    if (now + retry_pause >= request->deadline)
+        return false;
+    if (!routing) {
+        // A refusal by a full queue is repeated at another server only.
+        const bool movable =
+            !request->parsed.message.keyed && request->attempts < 3;
+        const bool lost = !not_run;
+        if ((!movable && !lost) || !budget_.try_take())
+            return false;
+    }
+    ++counters_.retries;
+    request->next_try = now + retry_pause;
+    request->waiting = true;
+    return true;
+}
+
+void entry_service::learn(
+    const backend_server_id& server, const answer_message& answer)
+{
+    if (server.empty())
+        return;
+    const bool wrong_holder =
+        answer.status == 0 && (answer.kind == error_kind::no_holder ||
+                                  answer.kind == error_kind::lease_lapsed ||
+                                  answer.kind == error_kind::shutting_down ||
+                                  answer.kind == error_kind::outcome_unknown);
+    if (wrong_holder)
+        ++positions_[server];
+    else
+        loads_[server] = answer.load;
+}
+
+void entry_service::on_link_lost(const instance_id& instance)
+{
+    std::vector<request_ptr> lost;
+    for (const auto& item : requests_) {
+        if (item.second->sent_to == instance)
+            lost.push_back(item.second);
+    }
+    for (const request_ptr& request : lost) {
+        answer_message answer;
+        answer.kind = error_kind::outcome_unknown;
+        answer.message = "the link to " + instance.value() + " was lost";
+        on_attempt_answer(request, std::move(answer), clock_now());
+    }
+}
+
+void entry_service::tick(time_point now)
+{
+    std::vector<request_ptr> due;
+    for (const auto& item : requests_) {
+        const entry_request& request = *item.second;
+        const bool late = now > request.deadline + answer_allowance;
+        if (late || (request.waiting && now >= request.next_try))
+            due.push_back(item.second);
+    }
+    for (const request_ptr& request : due) {
+        if (request->waiting) {
+            start(request, now);
+            continue;
+        }
+        cancel(request);
+        fail(request, error_kind::outcome_unknown,
+            "no answer of the holder before the deadline");
+    }
+}
+
+void entry_service::cancel(const request_ptr& request)
+{
+    requests_.erase(request->attempt);
+    if (request->ticket)
+        environment_.holders->cancel(*request->ticket);
+    else if (request->sent_to)
+        environment_.hub->send(
+            *request->sent_to, cancel_message{request->attempt});
+}
+
+void entry_service::finish(const request_ptr& request, http_response response)
+{
+    requests_.erase(request->attempt);
+    request->exchange->respond(std::move(response));
+}
+
+void entry_service::fail(
+    const request_ptr& request, error_kind kind, const std::string& message)
+{
+    switch (answer_for(kind).result) {
+    case outcome::done:
+        ++counters_.done;
+        break;
+    case outcome::not_run:
+        ++counters_.not_run;
+        break;
+    case outcome::unknown:
+        ++counters_.unknown;
+        break;
+    }
+    finish(request, error_response(kind, message));
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/node/entry_service.hpp
@@ -0,0 +1,122 @@
+// The entry side of a request: from the caller's connection to the holder of a
+// backend server and back.
+
+#ifndef FILBERTHUB_NODE_ENTRY_SERVICE_HPP
+#define FILBERTHUB_NODE_ENTRY_SERVICE_HPP
+
+#include "node/holder_service.hpp"
+#include "node/route.hpp"
+
+#include <filberthub/admission/retry_budget.hpp>
+#include <filberthub/net/http_listener.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+namespace filberthub {
+
+struct entry_environment
+{
+    instance_id self;
+    fleet_service* fleet = nullptr;
+    ownership_service* ownership = nullptr;
+    policy_service* policy = nullptr;
+    holder_service* holders = nullptr;
+    peer_hub* hub = nullptr;
+};
+
+// Counts of answers by outcome.
+struct entry_counters
+{
+    std::uint64_t received = 0;
+    std::uint64_t done = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t retries = 0;
+};
+
+// Guarantees exactly one answer for each request. A request that may have run
+// is repeated only if it is idempotent; a refusal says "not run" only if each
+// of its attempts is proved not to have run.
+class entry_service : public QObject
+{
+public:
+    explicit entry_service(entry_environment environment);
+
+    // Replaces the membership side after this instance joined again.
+    void set_membership(fleet_service& fleet, holder_service& holders,
+        ownership_service& ownership, policy_service& policy, peer_hub& hub);
+
+    // Takes a request of a caller.
+    void accept(std::shared_ptr<http_exchange> exchange);
+
+    // Takes the answer of a holder to a forwarded request.
+    void on_answer(answer_message answer);
+    // To be called when the link to an instance was lost.
+    void on_link_lost(const instance_id& instance);
+
+    std::size_t in_flight() const
+    {
+        return requests_.size();
+    }
+    const entry_counters& counters() const
+    {
+        return counters_;
+    }
+
+private:
+    using entry_number = forward_number;
+
+    struct entry_request
+    {
+        std::shared_ptr<http_exchange> exchange;
+        parsed_request parsed;
+        // Keeps the service policy alive to which `parsed` refers.
+        shared_policy policy;
+        time_point deadline;
+        // Where the present attempt went.
+        std::optional<instance_id> sent_to;
+        std::optional<held_ticket> ticket;
+        entry_number attempt;
+        unsigned attempts = 0;
+        // Whether an earlier attempt may have run.
+        bool may_have_run = false;
+        time_point next_try{};
+        bool waiting = false;
+    };
+    using request_ptr = std::shared_ptr<entry_request>;
+
+    void tick(time_point now);
+    void start(const request_ptr& request, time_point now);
+    void choose_server(entry_request& request);
+    backend_server_id choose_by_load(const service_policy& service);
+    std::optional<instance_id> choose_instance(
+        const backend_server_id& server) const;
+    void send(const request_ptr& request, time_point now);
+    void on_attempt_answer(
+        const request_ptr& request, answer_message answer, time_point now);
+    bool retry(const request_ptr& request, const answer_message& answer,
+        time_point now);
+    void finish(const request_ptr& request, http_response response);
+    void fail(const request_ptr& request, error_kind kind,
+        const std::string& message);
+    void cancel(const request_ptr& request);
+    void learn(const backend_server_id& server, const answer_message& answer);
+
+    entry_environment environment_;
+    std::unordered_map<entry_number, request_ptr> requests_;
+    entry_number last_{0};
+    // Position in the holder list that answered last, by server.
+    std::map<backend_server_id, std::size_t> positions_;
+    std::map<backend_server_id, server_load> loads_;
+    retry_budget budget_;
+    std::mt19937_64 random_;
+    entry_counters counters_;
+    QTimer timer_;
+};
+
+} // namespace filberthub
+
+#endif
--- /dev/null
+++ b/src/node/held_server_control.cpp
@@ -0,0 +1,136 @@
+// Probes and grants of `held_server`.
+
+#include "node/clock.hpp"
+#include "node/held_server.hpp"
+
+#include <filberthub/base/json_reader.hpp>
+
+#include <spdlog/spdlog.h>
+
+namespace filberthub {
+namespace {
+
+constexpr milliseconds probe_interval{200};
+constexpr unsigned lost_after_probes = 3;
+constexpr milliseconds grant_interval{300};
+// A new grant is asked for soon after a refusal or a lost answer.
+constexpr milliseconds grant_retry{50};
+constexpr milliseconds least_grant{100};
+
+json ranges_of(const std::vector<key_group>& groups)
+{
+    json ranges = json::array();
+    for (std::size_t first = 0; first < groups.size();) {
+        std::size_t last = first;
+        while (last + 1 < groups.size() &&
+               groups[last + 1].value() == groups[last].value() + 1)
+            ++last;
+        ranges.push_back({groups[first].value(), groups[last].value()});
+        first = last + 1;
+    }
+    return ranges;
+}
+
+} // namespace
+
+void held_server::probe(time_point now)
+{
+    if (probing_ || now < next_probe_)
+        return;
+    next_probe_ = now + probe_interval;
+    probing_ = true;
+    http_request request;
+    request.target = "/_filberthub/health";
+    probes_.send(
+        std::move(request), probe_interval, [this](const http_result& result) {
+            probing_ = false;
+            on_probe(result.response.has_value());
+        });
+}
+
+void held_server::on_probe(bool answered)
+{
+    missed_probes_ = answered ? 0 : missed_probes_ + 1;
+    const bool lost = missed_probes_ >= lost_after_probes;
+    if (lost == lost_)
+        return;
+    lost_ = lost;
+    const time_point now = clock_now();
+    spdlog::warn(
+        "server {} {}", server_.id.value(), lost ? "is lost" : "answers again");
+    gate_.on_connection_reset(now);
+    view_.observed(lost);
+}
+
+void held_server::renew_grants(time_point now)
+{
+    if (!policy_.verifies_tokens || policy_.kind != routing::by_key ||
+        now < next_grant_ || !view_.is_holder(now))
+        return;
+    next_grant_ = now + grant_interval;
+    const auto until = view_.grants_until();
+    if (!until || *until - now < least_grant)
+        return;
+    for (const auto& [group_token, groups] : view_.groups()) {
+        const auto token = view_.token(group_token);
+        if (!token || groups.empty())
+            continue;
+        for (const key_group group : groups)
+            offered_until_[group] = *until;
+        http_request request;
+        request.method = "PUT";
+        request.target = "/_filberthub/grant";
+        const auto lease = std::chrono::floor<milliseconds>(*until - now);
+        request.body = json{{"groups", ranges_of(groups)},
+            {"token", std::to_string(token->value())},
+            {"lease_ms", lease.count()}}
+                           .dump();
+        grants_.send(std::move(request), grant_interval,
+            [this, key = group_token, end = *until](const http_result& result) {
+                if (result.response && result.response->status == 200) {
+                    time_point& known = granted_until_[key];
+                    known = std::max(known, end);
+                } else {
+                    if (!result.response && result.sent)
+                        unconfirmed_until_ = std::max(unconfirmed_until_, end);
+                    next_grant_ =
+                        std::min(next_grant_, clock_now() + grant_retry);
+                }
+            });
+    }
+}
+
+bool held_server::is_granted(key_group group, time_point now) const
+{
+    const auto found = offered_until_.find(group);
+    return found != offered_until_.end() &&
+           now < std::max(found->second, unconfirmed_until_);
+}
+
+void held_server::revoke(
+    std::uint32_t group_token, const std::vector<key_group>& groups)
+{
+    const auto token = view_.token(group_token);
+    if (revoking_ || lost_ || !token)
+        return;
+    revoking_ = true;
+    http_request request;
+    request.method = "PUT";
+    request.target = "/_filberthub/revoke";
+    request.body = json{{"groups", ranges_of(groups)},
+        {"token", std::to_string(token->value())}}
+                       .dump();
+    grants_.send(std::move(request), grant_interval,
+        [this, groups](const http_result& result) {
+            revoking_ = false;
+            if (!result.response || result.response->status != 200)
+                return;
+            for (const key_group group : groups) {
+                // A grant that was lost on its way still counts.
+                time_point& until = offered_until_[group];
+                until = std::min(until, unconfirmed_until_);
+            }
+        });
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/node/holder_service.cpp
@@ -0,0 +1,279 @@
+#include "node/holder_service.hpp"
+
+#include "node/clock.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace filberthub {
+namespace {
+
+constexpr milliseconds tick_interval{10};
+// Releases are repeated until the new holder has no reason to wait any more,
+// because a message can be lost.
+constexpr milliseconds release_interval{100};
+constexpr milliseconds relief_interval{1000};
+
+answer_message refusal_of(
+    const forward_message& message, error_kind kind, const std::string& why)
+{
+    answer_message answer;
+    answer.number = message.number;
+    answer.kind = kind;
+    answer.message = why;
+    return answer;
+}
+
+} // namespace
+
+holder_service::holder_service(holder_environment environment)
+    : environment_(environment)
+{
+    connect(&timer_, &QTimer::timeout, this, [this] { tick(clock_now()); });
+}
+
+void holder_service::start()
+{
+    timer_.setTimerType(Qt::PreciseTimer);
+    timer_.start(tick_interval);
+}
+
+void holder_service::refresh()
+{
+    const shared_policy document = environment_.policy->document();
+    if (!document)
+        return;
+    const time_point now = clock_now();
+    std::set<backend_server_id> wanted;
+    for (const backend_server_id& server :
+        environment_.fleet->tracker().held_servers())
+        wanted.insert(server);
+    for (const auto& [name, policy] : document->services()) {
+        for (const backend_server& server : policy.servers) {
+            if (!wanted.contains(server.id))
+                continue;
+            if (!held_.contains(server.id))
+                add(policy, server, now);
+            entry& held = *held_.at(server.id);
+            held.server->set_policy(policy);
+            held.server->set_out_of_service(
+                !document->in_service(server.domain), now);
+            const ownership_table* table = environment_.ownership->find(name);
+            if (policy.kind == routing::by_key && table != nullptr)
+                held.handover.adopt(*table);
+        }
+    }
+    std::vector<backend_server_id> gone;
+    for (const auto& item : held_) {
+        if (!wanted.contains(item.first))
+            gone.push_back(item.first);
+    }
+    for (const backend_server_id& server : gone)
+        drop(server);
+}
+
+void holder_service::add(
+    const service_policy& policy, const backend_server& server, time_point now)
+{
+    auto held = std::make_unique<entry>();
+    held->service = policy.name;
+    held->handover = group_handover(server.id);
+    held->since = now;
+    held->server =
+        std::make_unique<held_server>(policy, server, view_of(server.id), now);
+    spdlog::info("holds server {}", server.id.value());
+    held_.emplace(server.id, std::move(held));
+    if (draining_)
+        held_.at(server.id)->server->drain(now);
+}
+
+void holder_service::drop(const backend_server_id& server)
+{
+    const auto found = held_.find(server);
+    environment_.ownership->forget(found->second->service, server);
+    spdlog::info("no longer holds server {}", server.value());
+    // The object may be on the call stack of one of its own callbacks.
+    found->second->server.release()->deleteLater();
+    held_.erase(found);
+}
+
+holder_view holder_service::view_of(const backend_server_id& server)
+{
+    fleet_service* fleet = environment_.fleet;
+    holder_view view;
+    view.is_holder = [fleet, server](time_point now) {
+        return fleet->tracker().is_holder(server, now) &&
+               fleet->connectivity().may_send_new_work(now);
+    };
+    view.grants_until = [fleet] { return fleet->lease().grants_until(); };
+    view.token = [fleet, server](
+                     std::uint32_t group) -> std::optional<fencing_token> {
+        const auto holder = fleet->tracker().token(server);
+        if (!holder)
+            return std::nullopt;
+        return make_fencing_token(group_token(group), *holder / 8, *holder % 8);
+    };
+    view.groups = [this, server] {
+        const auto found = held_.find(server);
+        return found == held_.end()
+                   ? std::map<std::uint32_t, std::vector<key_group>>{}
+                   : found->second->handover.ready();
+    };
+    view.observed = [this, server](bool lost) {
+        const auto found = held_.find(server);
+        if (found == held_.end())
+            return;
+        environment_.ownership->report(found->second->service, server,
+            lost ? server_state::lost : server_state::in_service);
+    };
+    return view;
+}
+
+held_ticket holder_service::submit(
+    forward_message message, answer_callback done)
+{
+    const time_point now = clock_now();
+    const backend_server_id server = message.server;
+    const auto found = held_.find(server);
+    if (found == held_.end()) {
+        done(refusal_of(message, error_kind::no_holder,
+            "this instance does not hold " + server.value()));
+        return {server, {}};
+    }
+    entry& held = *found->second;
+    if (message.keyed && !held.handover.serves(
+                             message.group, group_token(message.group_token))) {
+        done(refusal_of(message, error_kind::not_owner,
+            "group " + std::to_string(message.group.value()) +
+                " is not served by " + server.value() + " under token " +
+                std::to_string(message.group_token)));
+        return {server, {}};
+    }
+    const time_point deadline = now + milliseconds(message.remaining_ms);
+    return {server, held.server->submit(
+                        std::move(message), deadline, std::move(done), now)};
+}
+
+void holder_service::cancel(const held_ticket& ticket)
+{
+    const auto found = held_.find(ticket.server);
+    if (found != held_.end())
+        found->second->server->cancel(ticket.number, clock_now());
+}
+
+void holder_service::on_group_released(const group_released_message& message)
+{
+    for (const auto& item : held_) {
+        if (item.second->service == message.service)
+            item.second->handover.on_released(
+                message.group, group_token(message.token), message.server);
+    }
+}
+
+void holder_service::abandon()
+{
+    timer_.stop();
+    for (const auto& item : held_)
+        item.second->server->abandon(clock_now());
+}
+
+void holder_service::begin_drain()
+{
+    draining_ = true;
+    for (const auto& item : held_)
+        item.second->server->drain(clock_now());
+}
+
+std::vector<backend_server_id> holder_service::held_servers() const
+{
+    std::vector<backend_server_id> servers;
+    for (const auto& item : held_)
+        servers.push_back(item.first);
+    return servers;
+}
+
+void holder_service::tick(time_point now)
+{
+    for (const auto& item : held_)
+        item.second->server->tick(now);
+    send_group_releases(now);
+    hand_over(now);
+}
+
+// Whether groups that moved away from the server may be released: every grant
+// and request of an earlier holder has ended, and so have those of this one.
+bool holder_service::may_release(const entry& held, time_point now) const
+{
+    return now - held.since >= witness_expiry;
+}
+
+void holder_service::send_group_releases(time_point now)
+{
+    if (now < next_releases_)
+        return;
+    next_releases_ = now + release_interval;
+    for (const auto& item : held_) {
+        const entry& held = *item.second;
+        if (held.handover.departed().empty() || !may_release(held, now))
+            continue;
+        std::map<std::uint32_t, std::vector<key_group>> granted;
+        for (const departed_group& group : held.handover.departed()) {
+            if (held.server->serves(group.group))
+                continue;
+            if (held.server->is_granted(group.group, now)) {
+                granted[group.token.value()].push_back(group.group);
+                continue;
+            }
+            const group_released_message message{
+                held.service, group.group, group.token.value(), item.first};
+            send_to_holders(group.successor, message);
+        }
+        if (!granted.empty())
+            item.second->server->revoke(
+                granted.begin()->first, granted.begin()->second);
+    }
+}
+
+void holder_service::send_to_holders(
+    const backend_server_id& server, const peer_message& message)
+{
+    const fleet_table_ptr& table = environment_.fleet->table();
+    if (!table)
+        return;
+    for (const holder_entry& place : table->holders(server)) {
+        if (place.member == environment_.fleet->lease().self())
+            on_group_released(std::get<group_released_message>(message));
+        else
+            environment_.hub->send(place.member.instance, message);
+    }
+}
+
+// Gives up servers, either all of them when leaving or those that another
+// instance should hold. A server is released once nothing is in progress.
+void holder_service::hand_over(time_point now)
+{
+    if (!draining_ && now >= next_relief_) {
+        next_relief_ = now + relief_interval;
+        for (const backend_server_id& server :
+            environment_.fleet->places_to_release(now)) {
+            const auto found = held_.find(server);
+            if (found == held_.end()) {
+                environment_.fleet->release(server);
+                continue;
+            }
+            found->second->releasing = true;
+            found->second->server->drain(now);
+        }
+    }
+    std::vector<backend_server_id> ready;
+    for (const auto& item : held_) {
+        const bool leaves = draining_ || item.second->releasing;
+        if (leaves && item.second->server->idle())
+            ready.push_back(item.first);
+    }
+    for (const backend_server_id& server : ready) {
+        environment_.fleet->release(server);
+        drop(server);
+    }
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/node/news_service.cpp
@@ -0,0 +1,83 @@
+#include "node/news_service.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace filberthub {
+namespace {
+
+// A second pull of the same object waits for the first one.
+constexpr milliseconds pull_interval{200};
+
+} // namespace
+
+void news_service::add(const std::string& name, object value)
+{
+    objects_[name].value = std::move(value);
+}
+
+revision_summary news_service::summary() const
+{
+    revision_summary known;
+    const std::string_view prefix = ownership_prefix;
+    for (const auto& [name, item] : objects_) {
+        const object_version version = item.value.version();
+        if (name == policy_object)
+            known.policy = revision(version.value());
+        else if (name == fleet_object)
+            known.fleet = version;
+        else if (name.starts_with(prefix))
+            known.ownership.emplace_back(
+                service_id(name.substr(prefix.size())), version);
+    }
+    return known;
+}
+
+void news_service::on_summary(
+    const instance_id& from, const revision_summary& known, time_point now)
+{
+    pull_if_older(
+        from, policy_object, object_version(known.policy.value()), now);
+    pull_if_older(from, fleet_object, known.fleet, now);
+    for (const auto& [service, version] : known.ownership)
+        pull_if_older(from, ownership_prefix + service.value(), version, now);
+}
+
+void news_service::on_pull(
+    peer_connection& connection, const pull_message& message)
+{
+    const auto found = objects_.find(message.object);
+    if (found == objects_.end())
+        return;
+    const object& value = found->second.value;
+    if (value.version().value() == 0)
+        return;
+    connection.send(
+        news_message{message.object, value.version(), value.text()});
+}
+
+void news_service::on_news(const news_message& message)
+{
+    const auto found = objects_.find(message.object);
+    if (found == objects_.end() ||
+        message.version <= found->second.value.version())
+        return;
+    try {
+        found->second.value.adopt(message.version, message.value);
+    } catch (const error& failure) {
+        spdlog::warn("object {} of version {} was refused: {}", message.object,
+            message.version.value(), failure.what());
+    }
+}
+
+void news_service::pull_if_older(const instance_id& from,
+    const std::string& name, object_version version, time_point now)
+{
+    const auto found = objects_.find(name);
+    if (found == objects_.end() || version <= found->second.value.version() ||
+        now - found->second.last_pull < pull_interval)
+        return;
+    found->second.last_pull = now;
+    hub_->send(from, pull_message{name});
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/node/policy_service.cpp
@@ -0,0 +1,183 @@
+#include "node/policy_service.hpp"
+
+#include "node/clock.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace filberthub {
+namespace {
+
+constexpr milliseconds retry_interval{250};
+// The store confirms the revision in force at least this often, so that the
+// confirmation stays younger than 3 s on its way through the fleet.
+constexpr milliseconds watch_wait{1000};
+
+} // namespace
+
+policy_service::policy_service(
+    store_client& store, news_service& news, std::function<bool()> reads_store)
+    : store_(&store), reads_store_(std::move(reads_store))
+{
+    news.add(policy_object,
+        {.version = [this] { return object_version(in_force().value()); },
+            .text = [this] { return bundle(); },
+            .adopt = [this](object_version,
+                         const std::string& text) { adopt_bundle(text); }});
+    connect(&timer_, &QTimer::timeout, this, [this] {
+        if (!waiting_ && (!document() || reads_store_()))
+            watch();
+    });
+}
+
+void policy_service::start()
+{
+    timer_.start(retry_interval);
+    refresh();
+}
+
+void policy_service::refresh()
+{
+    store_->get(
+        policy_root_path, [this](const store_reply& reply) { on_root(reply); });
+}
+
+void policy_service::watch()
+{
+    waiting_ = true;
+    store_->watch(policy_root_path, root_version_, watch_wait,
+        [this](const store_reply& reply) {
+            waiting_ = false;
+            if (reply.status == store_status::unchanged && confirmed &&
+                document())
+                confirmed(reply.started);
+            on_root(reply);
+            const bool answered = reply.status == store_status::ok ||
+                                  reply.status == store_status::unchanged;
+            if (answered && reads_store_() && !waiting_)
+                watch();
+        });
+}
+
+void policy_service::on_root(const store_reply& reply)
+{
+    if (reply.status != store_status::ok)
+        return;
+    try {
+        policy_root root = policy_root_from_text(reply.value);
+        root_version_ = std::max(root_version_, reply.version);
+        if (root.number <= in_force()) {
+            if (confirmed && root.number == in_force())
+                confirmed(reply.started);
+            return;
+        }
+        read_sections(std::move(root), reply.started);
+    } catch (const error& failure) {
+        spdlog::error("the policy root is not valid: {}", failure.what());
+    }
+}
+
+void policy_service::read_sections(policy_root root, time_point started)
+{
+    auto read = std::make_shared<pending_read>();
+    read->root = std::move(root);
+    read->started = started;
+    for (const auto& [section, entry] : read->root.sections) {
+        if (entry.digest.empty())
+            continue;
+        const bool unchanged =
+            root_ && root_->sections.contains(section) &&
+            root_->sections.at(section).digest == entry.digest;
+        if (unchanged)
+            read->sections[section] = sections_.at(section);
+        else
+            ++read->missing;
+    }
+    if (read->missing == 0) {
+        finish_read(read);
+        return;
+    }
+    for (const auto& [section, entry] : read->root.sections) {
+        if (entry.digest.empty() || read->sections.contains(section))
+            continue;
+        store_->get(section_path(section, entry.digest),
+            [this, read, id = section, digest = entry.digest](
+                const store_reply& body) {
+                --read->missing;
+                try {
+                    if (body.status != store_status::ok ||
+                        digest_of(body.value) != digest)
+                        read->failed = true;
+                    else
+                        read->sections[id] = parse_policy_text(body.value);
+                } catch (const error&) {
+                    read->failed = true;
+                }
+                if (read->missing == 0)
+                    finish_read(read);
+            });
+    }
+}
+
+void policy_service::finish_read(const std::shared_ptr<pending_read>& read)
+{
+    if (read->failed) {
+        // The next round of the timer reads again.
+        root_version_ = object_version();
+        return;
+    }
+    try {
+        const revision number = read->root.number;
+        adopt(std::move(read->root), std::move(read->sections));
+        if (confirmed && number == in_force())
+            confirmed(read->started);
+    } catch (const error& failure) {
+        spdlog::error("revision {} was refused: {}", read->root.number.value(),
+            failure.what());
+    }
+}
+
+void policy_service::adopt(
+    policy_root root, std::map<section_id, json> sections)
+{
+    auto document = std::make_shared<const policy_document>(
+        check_policy(sections, root.out_of_service()));
+    if (!register_.offer(root.number, std::move(document)))
+        return;
+    root_ = std::move(root);
+    sections_ = std::move(sections);
+    spdlog::info("policy revision {} is in force", in_force().value());
+    if (changed)
+        changed();
+}
+
+std::string policy_service::bundle() const
+{
+    json sections = json::object();
+    for (const auto& [id, body] : sections_)
+        sections[id.value()] = body;
+    return json{{"root", to_text(*root_)}, {"sections", sections}}.dump();
+}
+
+void policy_service::adopt_bundle(const std::string& text)
+{
+    const json document = parse_policy_text(text);
+    json_reader reader(document, error_kind::bad_policy);
+    policy_root root = policy_root_from_text(reader.string("root"));
+    const json& bodies = reader.value("sections");
+    std::map<section_id, json> sections;
+    for (const auto& [section, entry] : root.sections) {
+        if (entry.digest.empty())
+            continue;
+        const auto found = bodies.find(section.value());
+        if (found == bodies.end() ||
+            digest_of(canonical_text(*found)) != entry.digest) {
+            throw error(error_kind::bad_policy,
+                "section \"" + section.value() +
+                    "\" does not have the digest of the root");
+        }
+        sections[section] = *found;
+    }
+    adopt(std::move(root), std::move(sections));
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,179 @@
+#include <filberthub/base/json_reader.hpp>
+#include <filberthub/platform/store_client.hpp>
+
+#include <charconv>
+
+namespace filberthub {
+namespace {
+
+constexpr milliseconds call_timeout{1000};
+constexpr std::size_t call_connections = 4;
+constexpr std::size_t watch_connections = 16;
+
+object_version version_of(const http_response& response)
+{
+    std::uint64_t number = 0;
+    const auto text = response.headers.get("Object-Version");
+    if (text)
+        std::from_chars(text->data(), text->data() + text->size(), number);
+    return object_version(number);
+}
+
+store_status status_of(int code)
+{
+    switch (code) {
+    case 200:
+        return store_status::ok;
+    case 304:
+        return store_status::unchanged;
+    case 404:
+        return store_status::not_found;
+    case 412:
+        return store_status::conflict;
+    default:
+        return store_status::unavailable;
+    }
+}
+
+store_reply reply_of(http_result result, time_point started)
+{
+    store_reply reply;
+    reply.started = started;
+    if (!result.response) {
+        reply.message = std::move(result.message);
+        return reply;
+    }
+    reply.status = status_of(result.response->status);
+    reply.version = version_of(*result.response);
+    if (reply.status == store_status::unavailable)
+        reply.message = "status " + std::to_string(result.response->status);
+    reply.value = std::move(result.response->body);
+    return reply;
+}
+
+listed_process process_from_json(json_reader reader)
+{
+    listed_process process;
+    process.id = instance_id(reader.string("id"));
+    process.run = incarnation(static_cast<std::uint64_t>(
+        reader.integer_or("incarnation", 0, INT64_MAX, 0)));
+    process.domain = failure_domain_id(reader.string("domain"));
+    process.peer = endpoint_from_string(reader.string("peer"));
+    process.caller = endpoint_from_string(reader.string("caller"));
+    process.operators = endpoint_from_string(reader.string("operator"));
+    process.leaving = reader.string_or("state", "live") == "leaving";
+    return process;
+}
+
+json to_json(const listed_process& process)
+{
+    return {{"id", process.id.value()}, {"incarnation", process.run.value()},
+        {"domain", process.domain.value()}, {"peer", to_string(process.peer)},
+        {"caller", to_string(process.caller)},
+        {"operator", to_string(process.operators)},
+        {"state", process.leaving ? "leaving" : "live"}};
+}
+
+std::vector<listed_process> processes_from_text(const std::string& text)
+{
+    const json document =
+        json{{"instances", parse_json(text, error_kind::store_unavailable)}};
+    std::vector<listed_process> processes;
+    json_reader reader(document, error_kind::store_unavailable);
+    for (const json_reader& item : reader.objects("instances"))
+        processes.push_back(process_from_json(item));
+    return processes;
+}
+
+} // namespace
+
+store_client::store_client(const endpoint& platform)
+    : client_(platform, {.max_connections = call_connections}),
+      watches_(platform, {.max_connections = watch_connections})
+{}
+
+void store_client::get(const std::string& name, store_callback callback)
+{
+    http_request request;
+    request.target = "/v1/objects/" + name;
+    call(std::move(request), call_timeout,
+        [callback = std::move(callback)](
+            http_result result, time_point started) {
+            callback(reply_of(std::move(result), started));
+        });
+}
+
+void store_client::put(const std::string& name, object_version base,
+    std::string value, store_callback callback)
+{
+    http_request request;
+    request.method = "PUT";
+    request.target = "/v1/objects/" + name;
+    request.headers.add("If-Version", std::to_string(base.value()));
+    request.body = std::move(value);
+    call(std::move(request), call_timeout,
+        [callback = std::move(callback)](
+            http_result result, time_point started) {
+            callback(reply_of(std::move(result), started));
+        });
+}
+
+void store_client::watch(const std::string& name, object_version after,
+    milliseconds wait, store_callback callback)
+{
+    ++call_count_;
+    http_request request;
+    request.target = "/v1/watch/" + name +
+                     "?after=" + std::to_string(after.value()) +
+                     "&wait_ms=" + std::to_string(wait.count());
+    const time_point started = std::chrono::steady_clock::now();
+    watches_.send(std::move(request), wait + call_timeout,
+        [callback = std::move(callback), started](http_result result) {
+            callback(reply_of(std::move(result), started));
+        });
+}
+
+void store_client::list_instances(list_callback callback)
+{
+    http_request request;
+    request.target = "/v1/instances";
+    call(std::move(request), call_timeout,
+        [callback = std::move(callback)](
+            const http_result& result, time_point) {
+            if (!result.response || result.response->status != 200) {
+                callback(false, {});
+                return;
+            }
+            try {
+                callback(true, processes_from_text(result.response->body));
+            } catch (const error&) {
+                callback(false, {});
+            }
+        });
+}
+
+void store_client::announce(
+    const listed_process& process, store_callback callback)
+{
+    http_request request;
+    request.method = "PUT";
+    request.target = "/v1/instances/" + process.id.value();
+    request.body = to_json(process).dump();
+    call(std::move(request), call_timeout,
+        [callback = std::move(callback)](
+            http_result result, time_point started) {
+            callback(reply_of(std::move(result), started));
+        });
+}
+
+void store_client::call(http_request request, milliseconds timeout,
+    std::function<void(http_result, time_point)> done)
+{
+    ++call_count_;
+    const time_point started = std::chrono::steady_clock::now();
+    client_.send(std::move(request), timeout,
+        [done = std::move(done), started](
+            http_result result) { done(std::move(result), started); });
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,153 @@
+#include "wire/control_fields.hpp"
+
+#include <filberthub/wire/codec.hpp>
+
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <array>
+#include <cstring>
+
+namespace filberthub {
+namespace {
+
+using detail::name_of;
+using detail::string_of;
+using wire::schema::Message;
+
+peer_message read_message(Message::Reader reader)
+{
+    switch (reader.which()) {
+    case Message::HELLO:
+        return hello_message{
+            name_of<instance_id>(reader.getHello().getInstance()),
+            incarnation(reader.getHello().getIncarnation())};
+    case Message::FORWARD:
+        return detail::read(reader.getForward());
+    case Message::ANSWER:
+        return detail::read(reader.getAnswer());
+    case Message::CANCEL:
+        return cancel_message{forward_number(reader.getCancel())};
+    case Message::HEARTBEAT:
+        return detail::read(reader.getHeartbeat());
+    case Message::HEARTBEAT_ACK:
+        return detail::read(reader.getHeartbeatAck());
+    case Message::EXPIRY_QUERY:
+        return detail::read(reader.getExpiryQuery());
+    case Message::LEASE_EXPIRED:
+        return detail::read(reader.getLeaseExpired());
+    case Message::RELEASED:
+        return detail::read(reader.getReleased());
+    case Message::MEMBER_STATUS:
+        return detail::read(reader.getMemberStatus());
+    case Message::INTENT:
+        return detail::read(reader.getIntent());
+    case Message::INTENT_ACK:
+        return detail::read(reader.getIntentAck());
+    case Message::COLLECT:
+        return detail::read(reader.getCollect());
+    case Message::COLLECTED:
+        return detail::read(reader.getCollected());
+    case Message::PULL:
+        return pull_message{string_of(reader.getPull().getObject())};
+    case Message::NEWS:
+        return news_message{string_of(reader.getNews().getObject()),
+            object_version(reader.getNews().getVersion()),
+            string_of(reader.getNews().getValue())};
+    case Message::SYNCHRONIZE:
+        return detail::read(reader.getSynchronize());
+    case Message::GROUP_RELEASED:
+        return detail::read(reader.getGroupReleased());
+    }
+    throw error(error_kind::bad_peer_message,
+        "message type " +
+            std::to_string(static_cast<unsigned>(reader.which())) +
+            " is not known");
+}
+
+// Returns the size of the first message of `bytes` as far as its frame header
+// tells, in bytes.
+std::size_t expected_size(std::string_view bytes)
+{
+    // The reader requires aligned words.
+    std::array<std::uint64_t, 1> header{};
+    std::memcpy(header.data(), bytes.data(), sizeof(header));
+    std::uint32_t extra_segments = 0;
+    std::memcpy(&extra_segments, bytes.data(), sizeof(extra_segments));
+    if (extra_segments != 0) {
+        throw error(error_kind::bad_peer_message,
+            "the frame has " + std::to_string(extra_segments + 1ULL) +
+                " segments, expected 1");
+    }
+    return capnp::expectedSizeInWordsFromPrefix(kj::arrayPtr(
+               reinterpret_cast<const capnp::word*>(header.data()), 1)) *
+           sizeof(capnp::word);
+}
+
+} // namespace
+
+std::string encode(const peer_message& message)
+{
+    // One segment for the whole message, so that a decoder can insist on it.
+    std::size_t words = 1024;
+    if (const auto* forward = std::get_if<forward_message>(&message))
+        words += forward->body.size() / sizeof(capnp::word);
+    if (const auto* answer = std::get_if<answer_message>(&message))
+        words += answer->body.size() / sizeof(capnp::word);
+    if (const auto* news = std::get_if<news_message>(&message))
+        words += news->value.size() / sizeof(capnp::word);
+    capnp::MallocMessageBuilder builder(static_cast<unsigned>(words));
+    std::visit(
+        [&](const auto& value) {
+            detail::write(builder.initRoot<Message>(), value);
+        },
+        message);
+    if (builder.getSegmentsForOutput().size() > 1) {
+        // A large set of headers did not fit; copy into one segment.
+        const auto size = builder.getRoot<Message>().asReader().totalSize();
+        capnp::MallocMessageBuilder single(
+            static_cast<unsigned>(size.wordCount + 16));
+        single.setRoot(builder.getRoot<Message>().asReader());
+        const auto flat = capnp::messageToFlatArray(single);
+        return {flat.asChars().begin(), flat.asChars().size()};
+    }
+    const auto flat = capnp::messageToFlatArray(builder);
+    return {flat.asChars().begin(), flat.asChars().size()};
+}
+
+void frame_decoder::feed(std::string_view bytes)
+{
+    if (consumed_ > 0) {
+        input_.erase(0, consumed_);
+        consumed_ = 0;
+    }
+    input_.append(bytes);
+}
+
+std::optional<peer_message> frame_decoder::next()
+{
+    const std::string_view rest = std::string_view(input_).substr(consumed_);
+    if (rest.size() < sizeof(capnp::word))
+        return std::nullopt;
+    const std::size_t size = expected_size(rest);
+    if (size > maximum_message_bytes) {
+        throw error(error_kind::bad_peer_message,
+            "the message has " + std::to_string(size) + " bytes, at most " +
+                std::to_string(maximum_message_bytes));
+    }
+    if (rest.size() < size)
+        return std::nullopt;
+    auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
+    std::memcpy(words.asBytes().begin(), rest.data(), size);
+    consumed_ += size;
+    try {
+        capnp::FlatArrayMessageReader reader(words);
+        return read_message(reader.getRoot<Message>());
+    } catch (const kj::Exception& failure) {
+        throw error(error_kind::bad_peer_message,
+            std::string("the message is not valid: ") +
+                failure.getDescription().cStr());
+    }
+}
+
+} // namespace filberthub
--- /dev/null
+++ b/src/wire/request_fields.cpp
@@ -0,0 +1,113 @@
+#include "wire/fields.hpp"
+
+namespace filberthub::detail {
+
+using wire::schema::Message;
+
+void write(Message::Builder builder, const hello_message& value)
+{
+    auto out = builder.initHello();
+    out.setInstance(text(value.instance));
+    out.setIncarnation(value.run.value());
+}
+
+void write(Message::Builder builder, const forward_message& value)
+{
+    auto out = builder.initForward();
+    out.setNumber(value.number.value());
+    out.setService(text(value.service));
+    out.setServer(text(value.server));
+    out.setKeyed(value.keyed);
+    out.setGroup(value.group.value());
+    out.setGroupToken(value.group_token);
+    out.setRemainingMs(value.remaining_ms);
+    out.setPriority(static_cast<std::uint8_t>(value.rank));
+    out.setIdempotent(value.idempotent);
+    out.setRequestId(text(value.id));
+    out.setTraceparent(text(value.traceparent));
+    out.setMethod(text(value.method));
+    out.setTarget(text(value.target));
+    write_headers(out.initHeaders(static_cast<unsigned>(value.headers.size())),
+        value.headers);
+    out.setBody(data(value.body));
+}
+
+void write(Message::Builder builder, const answer_message& value)
+{
+    auto out = builder.initAnswer();
+    out.setNumber(value.number.value());
+    out.setError(static_cast<std::uint8_t>(value.kind));
+    out.setMessage(text(value.message));
+    out.setStatus(value.status);
+    write_headers(out.initHeaders(static_cast<unsigned>(value.headers.size())),
+        value.headers);
+    out.setBody(data(value.body));
+    auto load = out.initLoad();
+    load.setInFlight(value.load.in_flight);
+    load.setWaiting(value.load.waiting);
+    load.setLimit(value.load.limit);
+    load.setLatencyUs(value.load.latency_us);
+}
+
+void write(Message::Builder builder, const cancel_message& value)
+{
+    builder.setCancel(value.number.value());
+}
+
+void write(Message::Builder builder, const pull_message& value)
+{
+    builder.initPull().setObject(text(value.object));
+}
+
+void write(Message::Builder builder, const news_message& value)
+{
+    auto out = builder.initNews();
+    out.setObject(text(value.object));
+    out.setVersion(value.version.value());
+    out.setValue(data(value.value));
+}
+
+forward_message read(wire::schema::Forward::Reader reader)
+{
+    if (reader.getPriority() >= priority_count) {
+        throw error(error_kind::bad_peer_message,
+            "priority " + std::to_string(reader.getPriority()) +
+                " is not below " + std::to_string(priority_count));
+    }
+    forward_message value;
+    value.number = forward_number(reader.getNumber());
+    value.service = name_of<service_id>(reader.getService());
+    value.server = name_of<backend_server_id>(reader.getServer());
+    value.keyed = reader.getKeyed();
+    value.group = key_group(reader.getGroup());
+    value.group_token = reader.getGroupToken();
+    value.remaining_ms = reader.getRemainingMs();
+    value.rank = static_cast<priority>(reader.getPriority());
+    value.idempotent = reader.getIdempotent();
+    value.id = name_of<request_id>(reader.getRequestId());
+    value.traceparent = string_of(reader.getTraceparent());
+    value.method = string_of(reader.getMethod());
+    value.target = string_of(reader.getTarget());
+    value.headers = read_headers(reader.getHeaders());
+    value.body = string_of(reader.getBody());
+    return value;
+}
+
+answer_message read(wire::schema::Answer::Reader reader)
+{
+    answer_message value;
+    value.number = forward_number(reader.getNumber());
+    value.kind = error_kind_from_number(reader.getError());
+    value.message = string_of(reader.getMessage());
+    value.status = reader.getStatus();
+    value.headers = read_headers(reader.getHeaders());
+    value.body = string_of(reader.getBody());
+    const auto load = reader.getLoad();
+    value.load = {.in_flight = load.getInFlight(),
+        .waiting = load.getWaiting(),
+        .limit = load.getLimit(),
+        .latency_us = load.getLatencyUs()};
+    return value;
+}
+
+} // namespace filberthub::detail
--- /dev/null
+++ b/test/wire/codec_test.cpp
@@ -0,0 +1,115 @@
+#include <filberthub/wire/codec.hpp>
+
+#include <gtest/gtest.h>
+
+namespace filberthub {
+namespace {
+
+const member_key member{instance_id("se-mitt-1"), incarnation(7)};
+
+std::vector<peer_message> samples()
+{
+    forward_message forward;
+    forward.number = forward_number(9);
+    forward.service = service_id("kartlas");
+    forward.server = backend_server_id("kartlas-3");
+    forward.keyed = true;
+    forward.group = key_group(77);
+    forward.group_token = 12;
+    forward.remaining_ms = 250;
+    forward.rank = priority::rescue;
+    forward.idempotent = false;
+    forward.id = request_id("r-1");
+    forward.traceparent = "00-a-b-01";
+    forward.method = "GET";
+    forward.target = "/kartlas/7";
+    forward.headers = {{"A", "b"}, {"C", std::string(9000, 'x')}};
+    forward.body = std::string("\0binary", 7);
+
+    answer_message answer;
+    answer.number = forward_number(9);
+    answer.kind = error_kind::overloaded;
+    answer.message = "queue is full";
+    answer.status = 200;
+    answer.headers = {{"E", "f"}};
+    answer.body = std::string(100'000, 'b');
+    answer.load = {1, 2, 3, 4};
+
+    heartbeat beat{
+        member, 3, object_version(4), {backend_server_id("kartlas-1")}, {}};
+    beat.known.policy = revision(5);
+    beat.known.ownership = {{service_id("kartlas"), object_version(6)}};
+    heartbeat_ack ack{member, member, 3, object_version(4), {}, {}};
+    ack.known.store_age = duration(17);
+    ack.evidence = {object_version(4), {0x12, 0xf0}};
+
+    const intent record{{1, 2}, fencing_token(3), 4, intent_state::unknown};
+    const backend_server_id server("kartskriv-2");
+    return {hello_message{member.instance, member.run}, forward, answer,
+        cancel_message{forward_number(9)}, beat, ack,
+        expiry_query{member, member, 8},
+        lease_expired{
+            member, member, member, 8, duration(9), object_version(1), {}},
+        released{member, server, object_version(2), object_version(3)},
+        member_status{member, true, object_version(2), true},
+        intent_message{server, 1, record},
+        intent_ack_message{1, member.instance, intent_reply::former_holder},
+        collect_message{server, 2, fencing_token(5)},
+        collected_message{server, 2, member.instance, true, true, {record}},
+        synchronize_message{
+            server, fencing_token(5), incarnation(6), {record, record}},
+        pull_message{"policy/root"},
+        news_message{"policy/root", object_version(3), "{}"},
+        group_released_message{service_id("kartlas"), key_group(1), 2, server}};
+}
+
+// Guards against a field that is written to one place and read from another.
+TEST(PeerMessage, IsTheSameAfterEncodingWhenFedInPieces)
+{
+    std::string bytes;
+    for (const peer_message& message : samples())
+        bytes += encode(message);
+    frame_decoder decoder;
+    std::vector<peer_message> seen;
+    for (std::size_t at = 0; at < bytes.size(); at += 1000) {
+        decoder.feed(std::string_view(bytes).substr(at, 1000));
+        while (auto message = decoder.next())
+            seen.push_back(std::move(*message));
+    }
+    EXPECT_EQ(seen, samples());
+}
+
+TEST(FrameDecoder, RefusesGarbageAndHugeFrames)
+{
+    for (const std::string& bytes :
+        {std::string(64, '\xff'),
+            std::string("\0\0\0\0\xff\xff\xff\x7f", 8) + std::string(8, 'a')}) {
+        frame_decoder decoder;
+        decoder.feed(bytes);
+        EXPECT_THROW(decoder.next(), error);
+    }
+}
+
+// Guards against a crash or a silent acceptance of damaged messages.
+TEST(FrameDecoder, NeverCrashesWhenABitOfAMessageIsFlipped)
+{
+    for (const peer_message& message : samples()) {
+        const std::string whole = encode(message);
+        const std::size_t bits = std::min<std::size_t>(whole.size(), 600) * 8;
+        for (std::size_t bit = 0; bit < bits; bit += 3) {
+            std::string bytes = whole;
+            bytes[bit / 8] =
+                static_cast<char>(bytes[bit / 8] ^ (1 << (bit % 8)));
+            frame_decoder decoder;
+            decoder.feed(bytes);
+            try {
+                decoder.next();
+            } catch (const error& failure) {
+                EXPECT_EQ(failure.kind(), error_kind::bad_peer_message);
+            }
+        }
+    }
+}
+
+} // namespace
+} // namespace filberthub
--- a/tools/model/instance_list.cpp
+++ b/tools/model/instance_list.cpp
@@ -17,6 +17,8 @@
     if (state != "live" && state != "leaving")
         reader.fail("state", "\"" + state + "\" is neither live nor leaving");
     result["state"] = state;
+    // Counts the starts of the instance.
+    result["incarnation"] = reader.integer_or("incarnation", 0, INT64_MAX, 0);
     return result;
 }
 
