--- a/tools/platform_standin/main.cpp
+++ b/tools/platform_standin/main.cpp
@@ -1,6 +1,7 @@
 // Stand-in of the platform for tests and demos: object store and instance list.
 
 #include "tools/platform_standin/platform_service.hpp"
+#include "tools/platform_standin/policy_seed.hpp"
 
 #include <QtCore/QCoreApplication>
 
@@ -19,6 +20,9 @@
         false, "127.0.0.1:7000", "IP:PORT", command);
     TCLAP::MultiArg<std::string> seeds("", "seed-object",
         "Object to store at the start", false, "NAME=FILE", command);
+    TCLAP::ValueArg<std::string> sections("", "seed-sections",
+        "Folder whose files NAME.json are the sections of the first policy",
+        false, "", "FOLDER", command);
     command.parse(argc, argv);
 
     const QCoreApplication application(argc, argv);
@@ -32,6 +36,8 @@
         service.seed(
             seed.substr(0, mark), tools::read_file(seed.substr(mark + 1)));
     }
+    if (sections.isSet())
+        tools::seed_policy(service.objects(), sections.getValue());
     return QCoreApplication::exec();
 }
 
--- a/tools/platform_standin/platform_service.hpp
+++ b/tools/platform_standin/platform_service.hpp
@@ -28,6 +28,12 @@
     // Stores an object before the first call.
     void seed(const std::string& name, std::string value);
 
+    // The store, to be filled before the first call.
+    object_store& objects()
+    {
+        return store_;
+    }
+
 private:
     using exchange_pointer = std::shared_ptr<http_exchange>;
 
