Fix a read past the list of servers that shrinks while it is cleaned up

Removing the last server also removes free positions before it, so that the loop over positions went on beyond the end of the list. The positions now come from a copy. Found by reading; the address sanitizer had not seen it, because no test removed servers at the end of the list next to a free position. One does now.

--- a/src/ownership/planner_state.cpp
+++ b/src/ownership/planner_state.cpp
@@ -251,9 +251,11 @@
     }
     for (const earlier_owner& entry : table.earlier_owners())
         refer(entry.server);
-    for (std::size_t index = table.servers().size(); index-- > 0;) {
-        const backend_server_id& id = table.servers()[index];
-        if (!id.empty() && !referenced[index] && !used.contains(id))
+    // The list may become shorter with each removal.
+    const std::vector<backend_server_id> listed = table.servers();
+    for (std::size_t index = 0; index < listed.size(); ++index) {
+        if (!listed[index].empty() && !referenced[index] &&
+            !used.contains(listed[index]))
             builder.remove_server(
                 server_index(static_cast<std::uint16_t>(index)));
     }
--- a/test/ownership/ownership_planner_test.cpp
+++ b/test/ownership/ownership_planner_test.cpp
@@ -82,6 +82,9 @@
         RC_ASSERT(plan.imbalance_after <= 1.08);
         RC_ASSERT(static_cast<double>(plan.moves.size()) <=
                   std::ceil(1.05 * static_cast<double>(plan.least_moves)));
+        RC_ASSERT(
+            apply_delta(table, encode_delta(table, plan.table)) == plan.table);
+        RC_ASSERT(decode_table(encode(plan.table)) == plan.table);
         table = plan.table;
         // Guards against groups that move back and forth.
         RC_ASSERT(planner.plan(table, fleet.servers(), weights).moves.empty());
@@ -257,6 +260,18 @@
     EXPECT_EQ(table.index_of(servers[3].id), server_index(4));
 }
 
+// Guards against reading past a list that became shorter during the removal.
+TEST_F(PlannedService, ShortensTheListWhenItsLastServersAreRemoved)
+{
+    servers.erase(servers.begin() + 9);
+    plan_settled();
+    plan_settled();
+    servers.erase(servers.end() - 2, servers.end());
+    plan_settled();
+    plan_settled();
+    EXPECT_EQ(table.servers().size(), 9U);
+}
+
 // Guards against token lists that grow until the store refuses the table.
 TEST_F(PlannedService, MergesOldTokensWithoutLoweringAny)
 {
--- a/test/ownership/ownership_table_test.cpp
+++ b/test/ownership/ownership_table_test.cpp
@@ -1,12 +1,14 @@
 #include "ownership/test_tables.hpp"
 
-#include <filberthub/base/error.hpp>
+#include <filberthub/base/json_reader.hpp>
 #include <filberthub/ownership/table_codec.hpp>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <functional>
+#include <random>
 
 namespace filberthub {
 namespace {
@@ -163,6 +165,33 @@
         HasSubstr("server a is listed twice"));
 }
 
+// Guards against reads out of bounds in a table from a damaged message.
+RC_GTEST_PROP(TableCodec, RefusesOrReadsAnyDamagedText, (unsigned seed))
+{
+    const ownership_table base = test::round_robin_table(4, group_count(16));
+    const ownership_table table = changed_table(base);
+    std::string whole = encode(table).dump();
+    std::string delta = encode_delta(base, table).dump();
+    std::mt19937 random(seed);
+    constexpr std::string_view replacements = "0159-AZz+/[]{},:\"";
+    for (std::string* text : {&whole, &delta}) {
+        for (int count = 0; count < 3; ++count) {
+            (*text)[random() % text->size()] =
+                replacements[random() % replacements.size()];
+        }
+    }
+    try {
+        decode_table(parse_json(whole, error_kind::internal));
+    } catch (const error&) {
+        RC_TAG("table refused");
+    }
+    try {
+        apply_delta(base, parse_json(delta, error_kind::internal));
+    } catch (const error&) {
+        RC_TAG("delta refused");
+    }
+}
+
 // Guards against a table that the store refuses for its size.
 TEST(TableCodec, StaysBelowOneMegabyteAt131072Groups)
 {
