Run non-idempotent requests at most once

The id of a non-idempotent request selects a home server whatever instance it enters through. The holder of the home records the id in its duplicate filter and at a majority of its witnesses before the first byte leaves, and a new home collects the records of the earlier one before it admits anything.

Cause of a fault found on the way: the collector counted a majority over all witnesses that a former holder ever had, which cannot be reached after its witness list changed. It now asks the list that has all records: the present one, or the one before while a change is not settled.

Ruled out: a write per edit to the store, which allows some hundred writes a second for the whole fleet, and records at the holder alone, which are lost with it. Log lines of the node now go through log_event as JSON lines.

--- a/include/filberthub/membership/fleet_table.hpp
+++ b/include/filberthub/membership/fleet_table.hpp
@@ -53,6 +53,9 @@
 {
     std::vector<holder_entry> entries;
     bool removed = false;
+    // Whether a place was ever dropped. Without one, the first place had no
+    // earlier holder whose records it would have to collect.
+    bool replaced = false;
 
     bool operator==(const holder_list&) const = default;
 };
--- a/include/filberthub/wire/message.hpp
+++ b/include/filberthub/wire/message.hpp
@@ -47,6 +47,9 @@
     priority rank = priority::interactive;
     bool idempotent = true;
     request_id id;
+    // Whether the home holder has recorded the request id. Its server then
+    // only runs it.
+    bool recorded = false;
     std::string traceparent;
     std::string method;
     std::string target;
--- a/src/membership/fleet_planner.cpp
+++ b/src/membership/fleet_planner.cpp
@@ -157,10 +157,12 @@
         const backend_server_id& server = item.first;
         holder_list& list = item.second;
         list.removed = !wanted.contains(server);
+        const std::size_t places = list.entries.size();
         std::erase_if(list.entries, [&](const holder_entry& entry) {
             return gone.contains(entry.member) ||
                    given.contains({server, entry.member, entry.since});
         });
+        list.replaced = list.replaced || list.entries.size() < places;
     }
     std::erase_if(lists, [](const auto& item) {
         return item.second.removed && item.second.entries.empty();
--- a/src/membership/fleet_table_json.cpp
+++ b/src/membership/fleet_table_json.cpp
@@ -97,10 +97,13 @@
     const json& servers = reader.value("servers");
     json_reader lists = reader.object("servers");
     const std::vector<std::string> removed = reader.strings("removed");
+    const std::vector<std::string> replaced = reader.strings("replaced");
     for (const auto& item : servers.items()) {
         holder_list list = read_list(lists, item.key(), members);
         for (const std::string& name : removed)
             list.removed = list.removed || name == item.key();
+        for (const std::string& name : replaced)
+            list.replaced = list.replaced || name == item.key();
         builder.server(backend_server_id(item.key()), std::move(list));
     }
     reader.finish();
@@ -122,6 +125,7 @@
     }
     json servers = json::object();
     json removed = json::array();
+    json replaced = json::array();
     for (const auto& [server, list] : table.servers()) {
         json places = json::array();
         for (const holder_entry& entry : list.entries) {
@@ -133,10 +137,12 @@
         servers[server.value()] = std::move(places);
         if (list.removed)
             removed.push_back(server.value());
+        if (list.replaced)
+            replaced.push_back(server.value());
     }
     const json document = {{"version", table.version().value()},
         {"members", std::move(members)}, {"servers", std::move(servers)},
-        {"removed", std::move(removed)}};
+        {"removed", std::move(removed)}, {"replaced", std::move(replaced)}};
     return document.dump();
 }
 
--- /dev/null
+++ b/src/node/edit_service.cpp
@@ -0,0 +1,373 @@
+#include "node/edit_service.hpp"
+
+#include "node/clock.hpp"
+
+#include <filberthub/telemetry/log.hpp>
+
+#include <algorithm>
+
+namespace filberthub {
+namespace {
+
+constexpr milliseconds collect_interval{100};
+// Time that is kept free for the request itself while its intent is recorded.
+constexpr milliseconds least_run_time{10};
+
+answer_message refusal_of(
+    const forward_message& message, error_kind kind, const std::string& why)
+{
+    answer_message answer;
+    answer.number = message.number;
+    answer.kind = kind;
+    answer.message = why;
+    return answer;
+}
+
+intent_state state_of(const answer_message& answer)
+{
+    if (answer.status != 0)
+        return intent_state::done;
+    return answer_for(answer.kind).result == outcome::not_run
+               ? intent_state::not_run
+               : intent_state::unknown;
+}
+
+} // namespace
+
+edit_service::edit_service(edit_environment environment, time_point started)
+    : environment_(std::move(environment)), started_(started)
+{}
+
+void edit_service::on_held(const backend_server_id& server, time_point now)
+{
+    const auto token = environment_.fleet->tracker().token(server);
+    home item;
+    item.token = fencing_token(token.value_or(0));
+    item.filter = std::make_unique<duplicate_filter>(
+        duplicate_filter_settings{}, item.token);
+    item.expires = now + intent_log_settings{}.window;
+    const std::optional<std::vector<member_key>> formers =
+        environment_.fleet->former_holders(server);
+    if (formers && formers->empty()) {
+        item.filter->adopt({}, now);
+    } else if (formers) {
+        for (const member_key& member : *formers) {
+            std::vector<instance_id> witnesses =
+                environment_.fleet->witnesses_of(member);
+            const auto count = static_cast<unsigned>(witnesses.size());
+            item.formers.push_back(
+                {std::move(witnesses), intent_collector(item.token, count)});
+        }
+    }
+    const auto added = homes_.insert_or_assign(server, std::move(item)).first;
+    if (added->second.filter->ready())
+        synchronize(server, added->second);
+}
+
+void edit_service::on_dropped(const backend_server_id& server)
+{
+    homes_.erase(server);
+    std::vector<std::uint64_t> cut;
+    for (const auto& item : pending_) {
+        if (item.second.server == server)
+            cut.push_back(item.first);
+    }
+    for (const std::uint64_t number : cut) {
+        const auto found = pending_.find(number);
+        const pending_edit edit = std::move(found->second);
+        pending_.erase(found);
+        edit.done(refusal_of(edit.message, error_kind::no_holder,
+            "this instance no longer holds " + server.value()));
+    }
+}
+
+void edit_service::submit(forward_message message, time_point deadline,
+    answer_callback done, edit_runner run, time_point now)
+{
+    const backend_server_id server = message.server;
+    const auto found = homes_.find(server);
+    if (found == homes_.end() || !found->second.filter->ready()) {
+        done(refusal_of(message, error_kind::no_holder,
+            "the records of earlier holders of " + server.value() +
+                " are not complete"));
+        return;
+    }
+    duplicate_check check = found->second.filter->begin(
+        request_key_of(message.service, message.id), now);
+    if (check.decision == duplicate_verdict::refuse) {
+        done(refusal_of(message, check.reason,
+            "request id \"" + message.id.value() + "\" is known to " +
+                server.value()));
+        return;
+    }
+    if (check.decision == duplicate_verdict::answer) {
+        frame_decoder decoder;
+        decoder.feed(check.answer);
+        auto stored = decoder.next();
+        auto answer = std::get<answer_message>(std::move(*stored));
+        answer.number = message.number;
+        done(std::move(answer));
+        return;
+    }
+    pending_edit edit{server, check.record, std::move(message), deadline,
+        std::move(done), std::move(run), {}};
+    if (has_quorum(edit)) {
+        this->run(std::move(edit));
+        return;
+    }
+    const std::uint64_t number = ++last_number_;
+    const intent_message request{server, number, edit.record};
+    pending_.emplace(number, std::move(edit));
+    for (const instance_id& witness : environment_.fleet->lease().targets())
+        environment_.hub->send(witness, request);
+}
+
+// Whether a majority of each witness list has recorded the intent. An instance
+// that is alone has no witnesses; its records end with its process, and its
+// successor waits until they no longer matter.
+bool edit_service::has_quorum(const pending_edit& edit) const
+{
+    const fleet_table_ptr& table = environment_.fleet->table();
+    const fleet_member* self =
+        table ? table->find(environment_.fleet->lease().self()) : nullptr;
+    if (self == nullptr)
+        return false;
+    const auto reached = [&](const std::vector<instance_id>& list) {
+        const auto count = static_cast<std::size_t>(std::count_if(
+            list.begin(), list.end(), [&](const instance_id& witness) {
+                return edit.acknowledged.contains(witness);
+            }));
+        return list.empty() || count >= majority_of(list.size());
+    };
+    return reached(self->witnesses) && reached(self->previous);
+}
+
+void edit_service::on_ack(const intent_ack_message& ack)
+{
+    const auto found = pending_.find(ack.number);
+    if (found == pending_.end() || ack.reply != intent_reply::recorded)
+        return;
+    found->second.acknowledged.insert(ack.from);
+    if (!has_quorum(found->second))
+        return;
+    pending_edit edit = std::move(found->second);
+    pending_.erase(found);
+    run(std::move(edit));
+}
+
+void edit_service::run(pending_edit edit)
+{
+    const auto remaining =
+        std::chrono::floor<milliseconds>(edit.deadline - clock_now());
+    edit.message.remaining_ms = static_cast<std::uint32_t>(
+        std::max<std::int64_t>(0, remaining.count()));
+    edit.message.recorded = true;
+    const edit_runner send = std::move(edit.run);
+    send(std::move(edit.message),
+        [this, server = edit.server, record = edit.record,
+            done = std::move(edit.done)](const answer_message& answer) {
+            finish(server, record, answer);
+            done(answer);
+        });
+}
+
+void edit_service::finish(const backend_server_id& server, const intent& record,
+    const answer_message& answer)
+{
+    const auto found = homes_.find(server);
+    if (found == homes_.end())
+        return;
+    const intent_state state = state_of(answer);
+    const std::string stored =
+        state == intent_state::done ? encode(answer) : std::string();
+    const auto outcome =
+        found->second.filter->finish(record, state, stored, clock_now());
+    if (outcome)
+        record_outcome(server, *outcome);
+}
+
+void edit_service::record_outcome(
+    const backend_server_id& server, const intent& record)
+{
+    const intent_message message{server, 0, record};
+    for (const instance_id& witness : environment_.fleet->lease().targets())
+        environment_.hub->send(witness, message);
+}
+
+void edit_service::tick(time_point now)
+{
+    for (auto& [server, item] : homes_) {
+        if (!item.filter->ready())
+            collect(server, item, now);
+        else
+            synchronize(server, item);
+    }
+    std::vector<std::uint64_t> late;
+    for (const auto& item : pending_) {
+        if (now + least_run_time >= item.second.deadline)
+            late.push_back(item.first);
+    }
+    for (const std::uint64_t number : late) {
+        const auto found = pending_.find(number);
+        const pending_edit edit = std::move(found->second);
+        pending_.erase(found);
+        const answer_message answer =
+            refusal_of(edit.message, error_kind::deadline_exceeded_not_run,
+                "no majority of witnesses recorded the intent in time");
+        finish(edit.server, edit.record, answer);
+        edit.done(answer);
+    }
+}
+
+void edit_service::collect(
+    const backend_server_id& server, home& item, time_point now)
+{
+    if (now < item.next_collect)
+        return;
+    item.next_collect = now + collect_interval;
+    if (now >= item.expires) {
+        item.formers.clear();
+        item.filter->adopt({}, now);
+        return;
+    }
+    const collect_message message{server, 0, item.token};
+    for (const former_home& former : item.formers) {
+        for (const instance_id& witness : former.witnesses) {
+            if (witness == environment_.self)
+                add_collected(item, witness,
+                    log_of(server).collect(item.token, now), now);
+            else
+                environment_.hub->send(witness, message);
+        }
+        if (item.filter->ready())
+            return;
+    }
+}
+
+void edit_service::add_collected(home& item, const instance_id& from,
+    const collect_reply& reply, time_point now)
+{
+    for (former_home& former : item.formers) {
+        const auto place =
+            std::find(former.witnesses.begin(), former.witnesses.end(), from);
+        if (place == former.witnesses.end())
+            continue;
+        const auto index =
+            static_cast<unsigned>(place - former.witnesses.begin());
+        former.collector.add(index, reply);
+    }
+    finish_collection(item, now);
+}
+
+void edit_service::finish_collection(home& item, time_point now)
+{
+    const bool complete = !item.formers.empty() &&
+                          std::all_of(item.formers.begin(), item.formers.end(),
+                              [](const former_home& former) {
+                                  return former.collector.complete();
+                              });
+    if (item.filter->ready() || !complete)
+        return;
+    std::map<request_key, intent> merged;
+    for (const former_home& former : item.formers) {
+        for (const intent& record : former.collector.merged()) {
+            const auto [found, added] = merged.emplace(record.key, record);
+            if (!added && earlier_run(found->second, record))
+                found->second = record;
+        }
+    }
+    std::vector<intent> records;
+    records.reserve(merged.size());
+    for (const auto& entry : merged)
+        records.push_back(entry.second);
+    item.filter->adopt(records, now);
+}
+
+// Sends all records to witnesses which may not have them: new ones, and ones
+// that started again.
+void edit_service::synchronize(const backend_server_id& server, home& item)
+{
+    const fleet_table_ptr& table = environment_.fleet->table();
+    if (!table)
+        return;
+    for (const instance_id& witness : environment_.fleet->lease().targets()) {
+        const fleet_member* member = table->find(witness);
+        if (member == nullptr)
+            continue;
+        const auto known = item.synchronized.find(witness);
+        if (known != item.synchronized.end() &&
+            known->second == member->key.run)
+            continue;
+        const synchronize_message message{
+            server, item.token, member->key.run, item.filter->intents()};
+        if (environment_.hub->send(witness, message))
+            item.synchronized[witness] = member->key.run;
+    }
+}
+
+void edit_service::on_link_lost(const instance_id& instance)
+{
+    for (auto& item : homes_)
+        item.second.synchronized.erase(instance);
+}
+
+bool edit_service::handle(
+    peer_connection& connection, const peer_message& message, time_point now)
+{
+    if (const auto* request = std::get_if<intent_message>(&message)) {
+        const intent_reply reply =
+            log_of(request->server).record(request->record, now);
+        if (request->number != 0)
+            connection.send(
+                intent_ack_message{request->number, environment_.self, reply});
+    } else if (const auto* ack = std::get_if<intent_ack_message>(&message)) {
+        on_ack(*ack);
+    } else if (const auto* query = std::get_if<collect_message>(&message)) {
+        collect_reply reply = log_of(query->server).collect(query->token, now);
+        connection.send(
+            collected_message{query->server, query->number, environment_.self,
+                reply.complete, reply.former_holder, std::move(reply.intents)});
+    } else if (const auto* found = std::get_if<collected_message>(&message)) {
+        const auto item = homes_.find(found->server);
+        if (item != homes_.end())
+            add_collected(item->second, found->from,
+                {found->complete, found->former_holder, found->intents}, now);
+    } else if (const auto* sync = std::get_if<synchronize_message>(&message)) {
+        log_of(sync->server)
+            .synchronize(sync->token, sync->receiver, sync->intents, now);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+bool edit_service::busy(const backend_server_id& server) const
+{
+    return std::any_of(pending_.begin(), pending_.end(),
+        [&](const auto& item) { return item.second.server == server; });
+}
+
+bool edit_service::ready(const backend_server_id& server) const
+{
+    const auto found = homes_.find(server);
+    return found != homes_.end() && found->second.filter->ready();
+}
+
+std::size_t edit_service::recorded(const backend_server_id& server) const
+{
+    const auto found = homes_.find(server);
+    return found == homes_.end() ? 0 : found->second.filter->size();
+}
+
+intent_log& edit_service::log_of(const backend_server_id& server)
+{
+    const auto found = logs_.find(server);
+    if (found != logs_.end())
+        return found->second;
+    return logs_
+        .emplace(server,
+            intent_log(intent_log_settings{}, environment_.run, started_))
+        .first->second;
+}
+
+} // namespace filberthub
--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -194,8 +194,47 @@
     }
 }
 
+void entry_service::relay(forward_message message, answer_callback done)
+{
+    answer_message refused;
+    refused.kind = error_kind::no_holder;
+    const std::optional<instance_id> target = choose_instance(message.server);
+    if (!target) {
+        refused.message = "no instance holds " + message.server.value();
+        done(std::move(refused));
+        return;
+    }
+    if (*target == environment_.self) {
+        environment_.holders->submit(std::move(message), std::move(done));
+        return;
+    }
+    last_ = last_.next();
+    message.number = last_;
+    const entry_number number = last_;
+    relays_.emplace(
+        number, relayed_request{std::move(done), *target,
+                    clock_now() + milliseconds(message.remaining_ms)});
+    if (!environment_.hub->send(*target, std::move(message))) {
+        refused.message = "no link to " + target->value();
+        finish_relay(number, std::move(refused));
+    }
+}
+
+void entry_service::finish_relay(entry_number number, answer_message answer)
+{
+    const auto found = relays_.find(number);
+    const answer_callback done = std::move(found->second.done);
+    relays_.erase(found);
+    done(std::move(answer));
+}
+
 void entry_service::on_answer(answer_message answer)
 {
+    if (relays_.contains(answer.number)) {
+        const entry_number number = answer.number;
+        finish_relay(number, std::move(answer));
+        return;
+    }
     const auto found = requests_.find(answer.number);
     if (found == requests_.end())
         return;
@@ -279,21 +318,38 @@
 
 void entry_service::on_link_lost(const instance_id& instance)
 {
+    answer_message unknown;
+    unknown.kind = error_kind::outcome_unknown;
+    unknown.message = "the link to " + instance.value() + " was lost";
+    std::vector<entry_number> relayed;
+    for (const auto& item : relays_) {
+        if (item.second.sent_to == instance)
+            relayed.push_back(item.first);
+    }
+    for (const entry_number number : relayed)
+        finish_relay(number, unknown);
     std::vector<request_ptr> lost;
     for (const auto& item : requests_) {
         if (item.second->sent_to == instance)
             lost.push_back(item.second);
     }
-    for (const request_ptr& request : lost) {
-        answer_message answer;
-        answer.kind = error_kind::outcome_unknown;
-        answer.message = "the link to " + instance.value() + " was lost";
-        on_attempt_answer(request, std::move(answer), clock_now());
-    }
+    for (const request_ptr& request : lost)
+        on_attempt_answer(request, unknown, clock_now());
 }
 
 void entry_service::tick(time_point now)
 {
+    std::vector<entry_number> late_relays;
+    for (const auto& item : relays_) {
+        if (now > item.second.deadline + answer_allowance)
+            late_relays.push_back(item.first);
+    }
+    for (const entry_number number : late_relays) {
+        answer_message answer;
+        answer.kind = error_kind::outcome_unknown;
+        answer.message = "no answer of the holder before the deadline";
+        finish_relay(number, std::move(answer));
+    }
     std::vector<request_ptr> due;
     for (const auto& item : requests_) {
         const entry_request& request = *item.second;
--- a/src/node/entry_service.hpp
+++ b/src/node/entry_service.hpp
@@ -52,6 +52,10 @@
     // Takes a request of a caller.
     void accept(std::shared_ptr<http_exchange> exchange);
 
+    // Sends a request that its home has recorded to the holder of
+    // `message.server`. It is sent once and not repeated.
+    void relay(forward_message message, answer_callback done);
+
     // Takes the answer of a holder to a forwarded request.
     void on_answer(answer_message answer);
     // To be called when the link to an instance was lost.
@@ -88,6 +92,15 @@
     };
     using request_ptr = std::shared_ptr<entry_request>;
 
+    // A request that is relayed for a home holder.
+    struct relayed_request
+    {
+        answer_callback done;
+        instance_id sent_to;
+        time_point deadline;
+    };
+
+    void finish_relay(entry_number number, answer_message answer);
     void tick(time_point now);
     void start(const request_ptr& request, time_point now);
     void choose_server(entry_request& request);
@@ -107,6 +120,7 @@
 
     entry_environment environment_;
     std::unordered_map<entry_number, request_ptr> requests_;
+    std::unordered_map<entry_number, relayed_request> relays_;
     entry_number last_{0};
     // Position in the holder list that answered last, by server.
     std::map<backend_server_id, std::size_t> positions_;
--- a/src/node/fleet_planning.cpp
+++ b/src/node/fleet_planning.cpp
@@ -3,7 +3,7 @@
 #include "node/clock.hpp"
 #include "node/fleet_service.hpp"
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
 
@@ -88,8 +88,8 @@
                 store_table_version_ = table.version();
                 adopt(table, clock_now());
             } catch (const error& failure) {
-                spdlog::error(
-                    "the fleet table is not valid: {}", failure.what());
+                log_event(log_level::error, "the fleet table is not valid",
+                    {{log_key::error, std::string_view(failure.what())}});
             }
         });
 }
@@ -209,8 +209,9 @@
                 store_table_version_ = next.version();
                 adopt(next, clock_now());
                 lease_.on_store_commit(sent, clock_now());
-                spdlog::info("committed fleet table {} with {} members",
-                    next.version().value(), next.members().size());
+                log_event(log_level::info, "committed the fleet table",
+                    {{log_key::fleet_version, next.version().value()},
+                        {"members", next.members().size()}});
                 return;
             }
             // After a conflict or a lost reply, what is in the store decides.
--- a/src/node/fleet_service.cpp
+++ b/src/node/fleet_service.cpp
@@ -2,7 +2,7 @@
 
 #include "node/clock.hpp"
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
 
@@ -49,8 +49,8 @@
 {
     if (lease_.lapsed(now) && !lapse_reported_) {
         lapse_reported_ = true;
-        spdlog::warn("the lease of incarnation {} lapsed",
-            environment_.self.run.value());
+        log_event(log_level::warn, "the lease lapsed",
+            {{log_key::incarnation, environment_.self.run.value()}});
         if (lapsed)
             lapsed();
         return;
@@ -151,14 +151,20 @@
         return;
     for (const fleet_member& member : table.members()) {
         environment_.hub->set_address(member.key.instance, member.address);
-        auto& history = witness_history_[member.key];
-        for (const instance_id& witness : member.witnesses) {
-            if (std::find(history.begin(), history.end(), witness) ==
-                history.end())
-                history.push_back(witness);
-        }
+        record_witnesses_[member.key] =
+            member.previous.empty() ? member.witnesses : member.previous;
     }
     table_ = std::make_shared<const fleet_table>(table);
+    for (const auto& [server, list] : table_->servers()) {
+        std::set<member_key> before;
+        for (const holder_entry& place : list.entries) {
+            if (place.member == lease_.self()) {
+                listed_before_[server].merge(before);
+                break;
+            }
+            before.insert(place.member);
+        }
+    }
     table_changed_ = now;
     lease_.adopt(*table_, now);
     ledger_.adopt(table_, now);
@@ -207,9 +213,22 @@
 std::vector<instance_id> fleet_service::witnesses_of(
     const member_key& member) const
 {
-    const auto found = witness_history_.find(member);
-    return found == witness_history_.end() ? std::vector<instance_id>{}
-                                           : found->second;
+    const auto found = record_witnesses_.find(member);
+    return found == record_witnesses_.end() ? std::vector<instance_id>{}
+                                            : found->second;
+}
+
+std::optional<std::vector<member_key>> fleet_service::former_holders(
+    const backend_server_id& server) const
+{
+    const auto listed = listed_before_.find(server);
+    if (listed != listed_before_.end() && !listed->second.empty())
+        return std::vector<member_key>(
+            listed->second.begin(), listed->second.end());
+    const auto list = table_->servers().find(server);
+    if (list == table_->servers().end() || list->second.replaced)
+        return std::nullopt;
+    return std::vector<member_key>{};
 }
 
 std::optional<std::size_t> fleet_service::rank() const
--- a/src/node/fleet_service.hpp
+++ b/src/node/fleet_service.hpp
@@ -81,10 +81,16 @@
         return table_;
     }
 
-    // Returns the witnesses that `member` had in any table since the start of
-    // this process, for the collection of its intents.
+    // Returns the witnesses that have all records of `member` in the last table
+    // that listed it: its witnesses, or the ones before while a change of them
+    // is not settled, because the member needs majorities of both until then.
     std::vector<instance_id> witnesses_of(const member_key& member) const;
 
+    // Returns the members that held `server` before this instance; none if
+    // there was no earlier holder, and nothing if they are not known.
+    std::optional<std::vector<member_key>> former_holders(
+        const backend_server_id& server) const;
+
     // Position of this instance among the planners; empty if it is no member.
     std::optional<std::size_t> rank() const;
 
@@ -127,7 +133,9 @@
     std::vector<listed_process> instances_;
     bool instances_known_ = false;
     std::map<member_key, member_status> statuses_;
-    std::map<member_key, std::vector<instance_id>> witness_history_;
+    std::map<member_key, std::vector<instance_id>> record_witnesses_;
+    // Members that any table since the start listed before this instance.
+    std::map<backend_server_id, std::set<member_key>> listed_before_;
     std::set<backend_server_id> held_;
     std::optional<time_point> change_wanted_;
     time_point table_changed_{};
--- a/src/node/held_server.cpp
+++ b/src/node/held_server.cpp
@@ -2,8 +2,6 @@
 
 #include "node/clock.hpp"
 
-#include <spdlog/spdlog.h>
-
 namespace filberthub {
 namespace {
 
--- a/src/node/held_server_control.cpp
+++ b/src/node/held_server_control.cpp
@@ -5,7 +5,7 @@
 
 #include <filberthub/base/json_reader.hpp>
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 namespace filberthub {
 namespace {
@@ -56,8 +56,8 @@
         return;
     lost_ = lost;
     const time_point now = clock_now();
-    spdlog::warn(
-        "server {} {}", server_.id.value(), lost ? "is lost" : "answers again");
+    log_event(log_level::warn, lost ? "server is lost" : "server answers again",
+        {{log_key::server, server_.id.value()}});
     gate_.on_connection_reset(now);
     view_.observed(lost);
 }
--- a/src/node/holder_service.cpp
+++ b/src/node/holder_service.cpp
@@ -1,8 +1,9 @@
 #include "node/holder_service.hpp"
 
 #include "node/clock.hpp"
+#include "node/route.hpp"
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 namespace filberthub {
 namespace {
@@ -80,8 +81,10 @@
     held->since = now;
     held->server =
         std::make_unique<held_server>(policy, server, view_of(server.id), now);
-    spdlog::info("holds server {}", server.id.value());
+    log_event(log_level::info, "took over a server",
+        {{log_key::server, server.id.value()}});
     held_.emplace(server.id, std::move(held));
+    environment_.edits->on_held(server.id, now);
     if (draining_)
         held_.at(server.id)->server->drain(now);
 }
@@ -90,7 +93,9 @@
 {
     const auto found = held_.find(server);
     environment_.ownership->forget(found->second->service, server);
-    spdlog::info("no longer holds server {}", server.value());
+    environment_.edits->on_dropped(server);
+    log_event(log_level::info, "gave up a server",
+        {{log_key::server, server.value()}});
     // The object may be on the call stack of one of its own callbacks.
     found->second->server.release()->deleteLater();
     held_.erase(found);
@@ -140,8 +145,10 @@
         return {server, {}};
     }
     entry& held = *found->second;
-    if (message.keyed && !held.handover.serves(
-                             message.group, group_token(message.group_token))) {
+    const bool runs_here = message.idempotent || message.recorded;
+    if (runs_here && message.keyed &&
+        !held.handover.serves(
+            message.group, group_token(message.group_token))) {
         done(refusal_of(message, error_kind::not_owner,
             "group " + std::to_string(message.group.value()) +
                 " is not served by " + server.value() + " under token " +
@@ -149,10 +156,70 @@
         return {server, {}};
     }
     const time_point deadline = now + milliseconds(message.remaining_ms);
+    if (!message.idempotent && !message.recorded) {
+        if (draining_ || held.releasing) {
+            done(refusal_of(message, error_kind::shutting_down,
+                server.value() + " is being handed over"));
+            return {server, {}};
+        }
+        environment_.edits->submit(
+            std::move(message), deadline, std::move(done),
+            [this](forward_message recorded, answer_callback answered) {
+                run_recorded(std::move(recorded), std::move(answered), 0);
+            },
+            now);
+        return {server, {}};
+    }
     return {server, held.server->submit(
                         std::move(message), deadline, std::move(done), now)};
 }
 
+// Each server is tried once; only a proof that the last one did not run the
+// request lets it go to the next one.
+void holder_service::run_recorded(
+    forward_message message, answer_callback done, std::size_t position)
+{
+    constexpr std::size_t most_servers = 4;
+    message.server = server_for(message, position);
+    const bool last =
+        message.server.empty() || position + 1 >= most_servers || message.keyed;
+    if (message.server.empty()) {
+        done(refusal_of(message, error_kind::no_holder,
+            "no server of " + message.service.value() + " is left to try"));
+        return;
+    }
+    forward_message next = last ? forward_message() : message;
+    environment_.relay(std::move(message),
+        [this, next = std::move(next), done = std::move(done), position, last](
+            answer_message answer) {
+            const bool not_run =
+                answer.status == 0 &&
+                answer_for(answer.kind).result == outcome::not_run &&
+                answer.kind != error_kind::deadline_exceeded_not_run;
+            if (last || !not_run)
+                done(std::move(answer));
+            else
+                run_recorded(next, done, position + 1);
+        });
+}
+
+backend_server_id holder_service::server_for(
+    const forward_message& message, std::size_t position) const
+{
+    const shared_policy document = environment_.policy->document();
+    const service_policy* service = document->find(message.service);
+    if (service == nullptr)
+        return {};
+    const auto order = home_order(*service, message.id);
+    std::vector<const backend_server*> usable;
+    for (const backend_server* server : order) {
+        if (document->in_service(server->domain))
+            usable.push_back(server);
+    }
+    return position < usable.size() ? usable[position]->id
+                                    : backend_server_id();
+}
+
 void holder_service::cancel(const held_ticket& ticket)
 {
     const auto found = held_.find(ticket.server);
@@ -195,6 +262,7 @@
 {
     for (const auto& item : held_)
         item.second->server->tick(now);
+    environment_.edits->tick(now);
     send_group_releases(now);
     hand_over(now);
 }
@@ -267,7 +335,8 @@
     std::vector<backend_server_id> ready;
     for (const auto& item : held_) {
         const bool leaves = draining_ || item.second->releasing;
-        if (leaves && item.second->server->idle())
+        if (leaves && item.second->server->idle() &&
+            !environment_.edits->busy(item.first))
             ready.push_back(item.first);
     }
     for (const backend_server_id& server : ready) {
--- a/src/node/holder_service.hpp
+++ b/src/node/holder_service.hpp
@@ -4,6 +4,7 @@
 #ifndef FILBERTHUB_NODE_HOLDER_SERVICE_HPP
 #define FILBERTHUB_NODE_HOLDER_SERVICE_HPP
 
+#include "node/edit_service.hpp"
 #include "node/fleet_service.hpp"
 #include "node/group_handover.hpp"
 #include "node/held_server.hpp"
@@ -20,7 +21,11 @@
     fleet_service* fleet = nullptr;
     ownership_service* ownership = nullptr;
     policy_service* policy = nullptr;
+    edit_service* edits = nullptr;
     peer_hub* hub = nullptr;
+    // Sends a recorded request to the holder of `message.server`, which may be
+    // this instance.
+    edit_runner relay;
 };
 
 // A request that can be cancelled.
@@ -87,6 +92,11 @@
         time_point now);
     void drop(const backend_server_id& server);
     holder_view view_of(const backend_server_id& server);
+    // Runs a recorded request at the first usable server in its home order.
+    void run_recorded(
+        forward_message message, answer_callback done, std::size_t position);
+    backend_server_id server_for(
+        const forward_message& message, std::size_t position) const;
     void send_group_releases(time_point now);
     bool may_release(const entry& held, time_point now) const;
     void send_to_holders(
--- a/src/node/news_service.cpp
+++ b/src/node/news_service.cpp
@@ -1,6 +1,6 @@
 #include "node/news_service.hpp"
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 namespace filberthub {
 namespace {
@@ -64,8 +64,9 @@
     try {
         found->second.value.adopt(message.version, message.value);
     } catch (const error& failure) {
-        spdlog::warn("object {} of version {} was refused: {}", message.object,
-            message.version.value(), failure.what());
+        log_event(log_level::warn, "refused an object of another instance",
+            {{"object", message.object}, {"version", message.version.value()},
+                {log_key::error, std::string_view(failure.what())}});
     }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,7 +5,7 @@
 
 #include <filberthub/node/node.hpp>
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 namespace filberthub {
 namespace {
@@ -35,6 +35,7 @@
     std::unique_ptr<fleet_service> fleet;
     std::unique_ptr<policy_service> policy;
     std::unique_ptr<ownership_service> ownership;
+    std::unique_ptr<edit_service> edits;
     std::unique_ptr<holder_service> holders;
 };
 
@@ -104,6 +105,8 @@
         [this](const instance_id& instance) {
             if (entry)
                 entry->on_link_lost(instance);
+            if (membership.edits)
+                membership.edits->on_link_lost(instance);
         });
     m.news = std::make_unique<news_service>(*m.hub);
     m.policy = std::make_unique<policy_service>(store, *m.news, [this] {
@@ -146,11 +149,21 @@
             .policy = [this] { return membership.policy->document(); },
             .rank = [this] { return membership.fleet->rank(); },
             .settled = [](const service_id&) { return table_version(); }});
+    m.edits =
+        std::make_unique<edit_service>(edit_environment{.fleet = m.fleet.get(),
+                                           .hub = m.hub.get(),
+                                           .self = config.instance,
+                                           .run = hello.run},
+            clock_now());
     m.holders = std::make_unique<holder_service>(
         holder_environment{.fleet = m.fleet.get(),
             .ownership = m.ownership.get(),
             .policy = m.policy.get(),
-            .hub = m.hub.get()});
+            .edits = m.edits.get(),
+            .hub = m.hub.get(),
+            .relay = [this](forward_message message, answer_callback done) {
+                entry->relay(std::move(message), std::move(done));
+            }});
 
     m.policy->changed = [this] { on_policy(); };
     m.policy->confirmed = [this](time_point started) {
@@ -175,7 +188,7 @@
 {
     if (leaving)
         return;
-    spdlog::warn("joining again with a new incarnation");
+    log_event(log_level::warn, "joining again with a new incarnation");
     membership_parts old = std::move(membership);
     membership = {};
     join();
@@ -208,7 +221,7 @@
     } else if (const auto* release =
                    std::get_if<group_released_message>(&message)) {
         membership.holders->on_group_released(*release);
-    } else {
+    } else if (!membership.edits->handle(connection, message, now)) {
         membership.fleet->handle(message, now);
     }
 }
@@ -267,8 +280,9 @@
             .holders = p.membership.holders.get(),
             .hub = p.membership.hub.get()});
     p.operations = std::make_unique<operator_service>(p.view());
-    spdlog::info("instance {} serves callers at {}", p.config.instance.value(),
-        to_string(p.config.callers));
+    log_event(log_level::info, "serves callers",
+        {{log_key::address, to_string(p.config.callers)},
+            {log_key::failure_domain, p.config.domain.value()}});
 }
 
 void node::leave(std::function<void()> left)
--- a/src/node/ownership_service.cpp
+++ b/src/node/ownership_service.cpp
@@ -2,7 +2,7 @@
 
 #include "node/clock.hpp"
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 namespace filberthub {
 namespace {
@@ -117,8 +117,9 @@
                 read_entry.stored = table.version();
                 adopt(service, std::move(table));
             } catch (const error& failure) {
-                spdlog::error("the ownership table of {} is not valid: {}",
-                    service.value(), failure.what());
+                log_event(log_level::error, "the ownership table is not valid",
+                    {{log_key::service, service.value()},
+                        {log_key::error, std::string_view(failure.what())}});
             }
         });
 }
@@ -225,8 +226,9 @@
             }
             written.store_version = reply.version;
             written.stored = table.version();
-            spdlog::info("committed ownership table {} of {}",
-                table.version().value(), service.value());
+            log_event(log_level::info, "committed an ownership table",
+                {{log_key::service, service.value()},
+                    {"table_version", table.version().value()}});
             adopt(service, table);
         });
 }
--- a/src/node/policy_service.cpp
+++ b/src/node/policy_service.cpp
@@ -2,7 +2,7 @@
 
 #include "node/clock.hpp"
 
-#include <spdlog/spdlog.h>
+#include <filberthub/telemetry/log.hpp>
 
 namespace filberthub {
 namespace {
@@ -72,7 +72,8 @@
         }
         read_sections(std::move(root), reply.started);
     } catch (const error& failure) {
-        spdlog::error("the policy root is not valid: {}", failure.what());
+        log_event(log_level::error, "the policy root is not valid",
+            {{log_key::error, std::string_view(failure.what())}});
     }
 }
 
@@ -131,8 +132,9 @@
         if (confirmed && number == in_force())
             confirmed(read->started);
     } catch (const error& failure) {
-        spdlog::error("revision {} was refused: {}", read->root.number.value(),
-            failure.what());
+        log_event(log_level::error, "refused a revision",
+            {{log_key::revision, read->root.number.value()},
+                {log_key::error, std::string_view(failure.what())}});
     }
 }
 
@@ -145,7 +147,8 @@
         return;
     root_ = std::move(root);
     sections_ = std::move(sections);
-    spdlog::info("policy revision {} is in force", in_force().value());
+    log_event(log_level::info, "a policy revision is in force",
+        {{log_key::revision, in_force().value()}});
     if (changed)
         changed();
 }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -80,7 +80,8 @@
     auto logger =
         std::make_shared<spdlog::logger>("filberthub", std::move(sink));
     logger->set_level(spdlog_level(minimum));
-    logger->flush_on(spdlog::level::warn);
+    // Events are rare, and the last ones matter when a process is killed.
+    logger->flush_on(spdlog::level::info);
     // A '%' begins a directive of the pattern.
     std::string name;
     for (const char letter : json_text(instance))
--- a/src/wire/peer.capnp
+++ b/src/wire/peer.capnp
@@ -26,6 +26,7 @@
   target @12 :Text;
   headers @13 :List(Header);
   body @14 :Data;
+  recorded @15 :Bool;
 }
 
 struct ServerLoad {
--- a/src/wire/request_fields.cpp
+++ b/src/wire/request_fields.cpp
@@ -24,6 +24,7 @@
     out.setPriority(static_cast<std::uint8_t>(value.rank));
     out.setIdempotent(value.idempotent);
     out.setRequestId(text(value.id));
+    out.setRecorded(value.recorded);
     out.setTraceparent(text(value.traceparent));
     out.setMethod(text(value.method));
     out.setTarget(text(value.target));
@@ -85,6 +86,7 @@
     value.rank = static_cast<priority>(reader.getPriority());
     value.idempotent = reader.getIdempotent();
     value.id = name_of<request_id>(reader.getRequestId());
+    value.recorded = reader.getRecorded();
     value.traceparent = string_of(reader.getTraceparent());
     value.method = string_of(reader.getMethod());
     value.target = string_of(reader.getTarget());
--- a/test/wire/codec_test.cpp
+++ b/test/wire/codec_test.cpp
@@ -20,6 +20,7 @@
     forward.rank = priority::rescue;
     forward.idempotent = false;
     forward.id = request_id("r-1");
+    forward.recorded = true;
     forward.traceparent = "00-a-b-01";
     forward.method = "GET";
     forward.target = "/kartlas/7";
