Let the baseline follow all answers of a warm server

Cause: only answers within 2 times the baseline moved it in full. With a long tail (lognormal, sigma 1) the baseline fell far below the mean, the mean of recent answers looked slow, and the gate stayed at one of two slots.

--- a/include/filberthub/admission/server_gate.hpp
+++ b/include/filberthub/admission/server_gate.hpp
@@ -192,8 +192,7 @@
     {
         return {limit(now), static_cast<unsigned>(running_.size()),
             static_cast<unsigned>(queue_.size()), times_.mean(),
-            draining_ || out_of_service_,
-            ramp_.limit(settings_.slots, now) < settings_.slots};
+            draining_ || out_of_service_, ramping(now)};
     }
 
 private:
@@ -218,6 +217,11 @@
         unknown_since_ = now;
     }
 
+    bool ramping(time_point now) const
+    {
+        return ramp_.limit(settings_.slots, now) < settings_.slots;
+    }
+
     unsigned limit_for(priority level, time_point now) const
     {
         const unsigned all = limit(now);
@@ -256,7 +260,7 @@
         switch (result) {
         case answer_result::good:
         case answer_result::timed_out:
-            times_.add(latency, current);
+            times_.add(latency, current, !ramping(now));
             if (current && times_.suspicious())
                 forget(now, false);
             else if (current)
--- a/include/filberthub/admission/service_time.hpp
+++ b/include/filberthub/admission/service_time.hpp
@@ -21,8 +21,9 @@
     explicit service_time(duration baseline);
 
     // To be called for each complete answer. `current` is whether the request
-    // was sent after the last `forget`.
-    void add(duration latency, bool current);
+    // was sent after the last `forget`, `warm` whether the ramp has reached all
+    // slots.
+    void add(duration latency, bool current, bool warm);
 
     duration mean() const
     {
--- a/test/admission/server_gate_test.cpp
+++ b/test/admission/server_gate_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
+#include <random>
 #include <set>
 
 namespace filberthub {
@@ -153,6 +155,26 @@
     EXPECT_EQ(ramp.limit(2, {}), 2U) << "the last ramp had been right";
 }
 
+// Guards against a limit that stays at one because a service with a long tail
+// has many slow answers.
+TEST(ServerGate, UsesAllSlotsOfAServiceWithALongTail)
+{
+    std::mt19937_64 engine(20261204);
+    // Mean of 10 ms.
+    std::lognormal_distribution<double> latency(std::log(10e6) - 0.5, 1.0);
+    auto gate = gate_with<server_gate>(2);
+    unsigned full = 0;
+    time_point now;
+    for (std::uint64_t number = 0; number < 20000; ++number) {
+        gate.offer(
+            {request_number(number), priority::interactive, now + 9s}, now);
+        now += duration(static_cast<std::int64_t>(latency(engine)));
+        gate.finish(request_number(number), answer_result::good, now);
+        full += gate.limit(now) == 2 ? 1 : 0;
+    }
+    EXPECT_GT(full, 18000U);
+}
+
 TEST(ServerGate, LowersTheLimitByReports)
 {
     auto gate = gate_with<basic_server_gate<no_ramp, aimd_limit>>(4);
