Let a witness acknowledge heartbeats right after it joined

The table was at version 99 and each instance at its 13th incarnation or later: a restarted witness sent no acks for 1,224 ms, so the leases of members with three such witnesses lapsed, and their restarts silenced further witnesses without end.

The silence of acks protects nothing once evidence is a silence that counts from the moment a witness joined, so only statements keep the warm-up.

--- a/include/filberthub/membership/protocol.hpp
+++ b/include/filberthub/membership/protocol.hpp
@@ -63,7 +63,7 @@
 {
     // Rule 1: a lapsed lease never resumes with the same incarnation.
     static constexpr bool lapse_is_final = true;
-    // A witness that just started neither acknowledges nor attests silence.
+    // A witness that just started attests no silence for this long.
     static constexpr duration warm_up = witness_expiry;
     // Silence after which a lease is expired.
     static constexpr duration expiry = witness_expiry;
--- a/src/membership/witness_ledger_impl.hpp
+++ b/src/membership/witness_ledger_impl.hpp
@@ -95,7 +95,10 @@
 std::optional<heartbeat_ack> basic_witness_ledger<Rules>::on_heartbeat(
     const heartbeat& message, time_point now)
 {
-    if (!may_speak(now))
+    // An ack needs no warm-up, unlike a statement of silence. Witnesses that
+    // stay silent after a restart would make the leases of others lapse, whose
+    // restarts silence further witnesses.
+    if (!listed_ || own_->lapsed(now))
         return std::nullopt;
     const auto found = records_.find(message.from);
     if (found == records_.end())
