Make the demo pass: rejoining, operator pages, keyed edits

Causes, each seen in a run of scripts/demo.sh or by reading the code: - An instance that joined again destroyed objects to which store calls in progress came back, and died with a segmentation fault. The old parts are now stopped and kept until no call can be in progress. - The operator pages for policy, domains and instances were never called and answered 404. - A non-idempotent request with a key had the owner of the key as its home but was relayed by its request id. Its home now follows from the request id, and it runs at the owner of the key. - A server that had once answered as out of service was left out for good; it is tried again after 250 ms. - An instance that operators took out of service kept its servers and stayed ready. It now hands them over and is not ready.

--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -13,6 +13,9 @@
 // A holder answers at the deadline; its answer needs some time on the way.
 constexpr milliseconds answer_allowance{25};
 
+// A server that closed is tried again after this time.
+constexpr milliseconds closed_lifetime{250};
+
 // Refusals that a later attempt at another holder or with a newer table can
 // avoid. They do not count against the retry budget, because no server saw the
 // request.
@@ -89,6 +92,10 @@
 {
     forward_message& message = request.parsed.message;
     const service_policy& service = *request.parsed.service;
+    if (!message.idempotent) {
+        message.server = home_order(service, message.id).front()->id;
+        return;
+    }
     if (message.keyed) {
         const ownership_table* table =
             environment_.ownership->find(message.service);
@@ -99,10 +106,6 @@
         route_by_key(request.parsed, *table);
         return;
     }
-    if (!message.idempotent) {
-        message.server = home_order(service, message.id).front()->id;
-        return;
-    }
     message.server = choose_by_load(service);
 }
 
@@ -113,18 +116,19 @@
     std::vector<const backend_server*> candidates;
     for (const backend_server& server : service.servers) {
         const auto load = loads_.find(server.id);
-        const bool closed = load != loads_.end() && load->second.limit == 0;
+        const bool closed = load != loads_.end() &&
+                            load->second.load.limit == 0 &&
+                            clock_now() - load->second.seen < closed_lifetime;
         if (document->in_service(server.domain) && !closed)
             candidates.push_back(&server);
     }
     if (candidates.empty()) {
-        loads_.clear();
         throw error(error_kind::no_holder,
             "no server of \"" + service.name.value() + "\" is available");
     }
     std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
     const auto expected_wait = [&](const backend_server* server) {
-        const server_load load = loads_[server->id];
+        const server_load load = loads_[server->id].load;
         const double ahead = load.in_flight + load.waiting + 1.0;
         return ahead * load.latency_us / std::max(1U, load.limit);
     };
@@ -313,7 +317,7 @@
     if (wrong_holder)
         ++positions_[server];
     else
-        loads_[server] = answer.load;
+        loads_[server] = {answer.load, clock_now()};
 }
 
 void entry_service::on_link_lost(const instance_id& instance)
--- a/src/node/entry_service.hpp
+++ b/src/node/entry_service.hpp
@@ -100,6 +100,13 @@
         time_point deadline;
     };
 
+    // The load of a server as its holder last told it.
+    struct known_load
+    {
+        server_load load;
+        time_point seen{};
+    };
+
     void finish_relay(entry_number number, answer_message answer);
     void tick(time_point now);
     void start(const request_ptr& request, time_point now);
@@ -124,7 +131,7 @@
     entry_number last_{0};
     // Position in the holder list that answered last, by server.
     std::map<backend_server_id, std::size_t> positions_;
-    std::map<backend_server_id, server_load> loads_;
+    std::map<backend_server_id, known_load> loads_;
     retry_budget budget_;
     std::mt19937_64 random_;
     entry_counters counters_;
--- a/src/node/fleet_service.cpp
+++ b/src/node/fleet_service.cpp
@@ -45,6 +45,13 @@
     timer_.start(tick_interval);
 }
 
+void fleet_service::stop()
+{
+    timer_.stop();
+    changed = nullptr;
+    lapsed = nullptr;
+}
+
 void fleet_service::tick(time_point now)
 {
     if (lease_.lapsed(now) && !lapse_reported_) {
--- a/src/node/fleet_service.hpp
+++ b/src/node/fleet_service.hpp
@@ -43,6 +43,10 @@
     // Begins to announce this instance and to join the fleet.
     void start();
 
+    // Ends all activity. Store calls in progress still come back to the object,
+    // which has to outlive them.
+    void stop();
+
     // Gives the instance its turn; called by its timer and after messages.
     void tick(time_point now);
 
--- a/src/node/holder_service.cpp
+++ b/src/node/holder_service.cpp
@@ -174,12 +174,34 @@
                         std::move(message), deadline, std::move(done), now)};
 }
 
+// A recorded request with a key runs at the server that owns the key.
+void holder_service::route_to_owner(forward_message& message) const
+{
+    message.server = backend_server_id();
+    const ownership_table* table =
+        environment_.ownership->find(message.service);
+    const auto key = std::find_if(
+        message.headers.begin(), message.headers.end(), [](const auto& item) {
+            return same_header_name(item.first, "Filberthub-Key");
+        });
+    if (table == nullptr || key == message.headers.end())
+        return;
+    const assignment& owner = table->find(key->second);
+    if (owner.primary == no_server)
+        return;
+    message.group = table->group_of_key(key->second);
+    message.group_token = owner.token.value();
+    message.server = table->server(owner.primary);
+}
+
 // Each server is tried once; only a proof that the last one did not run the
 // request lets it go to the next one.
 void holder_service::run_recorded(
     forward_message message, answer_callback done, std::size_t position)
 {
     constexpr std::size_t most_servers = 4;
+    if (message.keyed)
+        route_to_owner(message);
     message.server = server_for(message, position);
     const bool last =
         message.server.empty() || position + 1 >= most_servers || message.keyed;
@@ -210,6 +232,8 @@
     const service_policy* service = document->find(message.service);
     if (service == nullptr)
         return {};
+    if (message.keyed)
+        return position == 0 ? message.server : backend_server_id();
     const auto order = home_order(*service, message.id);
     std::vector<const backend_server*> usable;
     for (const backend_server* server : order) {
@@ -332,6 +356,12 @@
             found->second->server->drain(now);
         }
     }
+    if (environment_.out_of_service()) {
+        for (const auto& item : held_) {
+            item.second->releasing = true;
+            item.second->server->drain(now);
+        }
+    }
     std::vector<backend_server_id> ready;
     for (const auto& item : held_) {
         const bool leaves = draining_ || item.second->releasing;
--- a/src/node/holder_service.hpp
+++ b/src/node/holder_service.hpp
@@ -26,6 +26,8 @@
     // Sends a recorded request to the holder of `message.server`, which may be
     // this instance.
     edit_runner relay;
+    // Whether operators took this instance or its failure domain out.
+    std::function<bool()> out_of_service;
 };
 
 // A request that can be cancelled.
@@ -95,6 +97,7 @@
     // Runs a recorded request at the first usable server in its home order.
     void run_recorded(
         forward_message message, answer_callback done, std::size_t position);
+    void route_to_owner(forward_message& message) const;
     backend_server_id server_for(
         const forward_message& message, std::size_t position) const;
     void send_group_releases(time_point now);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,6 +24,8 @@
 // The balancer sees that the instance leaves and sends no new callers.
 constexpr milliseconds balancer_notice{500};
 constexpr milliseconds leave_limit{20'000};
+// Longer than the timeout of any call to the store.
+constexpr milliseconds retired_parts_lifetime{10'000};
 
 } // namespace
 
@@ -155,14 +157,21 @@
                                            .self = config.instance,
                                            .run = hello.run},
             clock_now());
-    m.holders = std::make_unique<holder_service>(
-        holder_environment{.fleet = m.fleet.get(),
-            .ownership = m.ownership.get(),
-            .policy = m.policy.get(),
-            .edits = m.edits.get(),
-            .hub = m.hub.get(),
-            .relay = [this](forward_message message, answer_callback done) {
+    m.holders = std::make_unique<holder_service>(holder_environment{
+        .fleet = m.fleet.get(),
+        .ownership = m.ownership.get(),
+        .policy = m.policy.get(),
+        .edits = m.edits.get(),
+        .hub = m.hub.get(),
+        .relay =
+            [this](forward_message message, answer_callback done) {
                 entry->relay(std::move(message), std::move(done));
+            },
+        .out_of_service =
+            [this] {
+                const shared_policy document = membership.policy->document();
+                return document && (!document->in_service(config.instance) ||
+                                       !document->in_service(config.domain));
             }});
 
     m.policy->changed = [this] { on_policy(); };
@@ -189,7 +198,12 @@
     if (leaving)
         return;
     log_event(log_level::warn, "joining again with a new incarnation");
-    membership_parts old = std::move(membership);
+    // Calls to the store that the old parts made come back to them.
+    auto old = std::make_shared<membership_parts>(std::move(membership));
+    old->fleet->stop();
+    old->policy->stop();
+    old->ownership->stop();
+    QTimer::singleShot(retired_parts_lifetime, callers.get(), [old] {});
     membership = {};
     join();
     entry->set_membership(*membership.fleet, *membership.holders,
--- a/src/node/operator_service.cpp
+++ b/src/node/operator_service.cpp
@@ -42,8 +42,7 @@
         response.body = metrics();
         exchange->respond(std::move(response));
     } else {
-        exchange->respond(
-            json_response(404, {{"message", "there is no page " + target}}));
+        handle_policy(exchange);
     }
 }
 
@@ -52,13 +51,17 @@
     return json_response(200, {{"instance", view_.config->instance.value()}});
 }
 
-// Ready means that requests can be routed: a policy is in force and the holders
-// of servers are known.
+// Ready means that requests can be routed: a policy is in force, the holders of
+// servers are known, and operators did not take the instance out of service.
 http_response operator_service::readiness() const
 {
     const fleet_table_ptr& table = view_.fleet()->table();
-    const bool ready = !view_.leaving() && view_.policy()->document() &&
-                       table && !table->servers().empty();
+    const shared_policy document = view_.policy()->document();
+    const bool in_service = document &&
+                            document->in_service(view_.config->instance) &&
+                            document->in_service(view_.config->domain);
+    const bool ready =
+        !view_.leaving() && in_service && table && !table->servers().empty();
     return json_response(ready ? 200 : 503, {{"ready", ready}});
 }
 
--- a/src/node/ownership_service.cpp
+++ b/src/node/ownership_service.cpp
@@ -25,6 +25,12 @@
     timer_.start(tick_interval);
 }
 
+void ownership_service::stop()
+{
+    timer_.stop();
+    changed = nullptr;
+}
+
 void ownership_service::apply_policy()
 {
     for (const auto& [name, policy] : environment_.policy()->services()) {
--- a/src/node/ownership_service.hpp
+++ b/src/node/ownership_service.hpp
@@ -40,6 +40,9 @@
     explicit ownership_service(ownership_environment environment);
 
     void start();
+    // Ends all activity. Store calls in progress still come back to the object,
+    // which has to outlive them.
+    void stop();
 
     // To be called after each change of the policy.
     void apply_policy();
--- a/src/node/policy_service.cpp
+++ b/src/node/policy_service.cpp
@@ -35,6 +35,14 @@
     refresh();
 }
 
+void policy_service::stop()
+{
+    timer_.stop();
+    stopped_ = true;
+    changed = nullptr;
+    confirmed = nullptr;
+}
+
 void policy_service::refresh()
 {
     store_->get(
@@ -47,6 +55,8 @@
     store_->watch(policy_root_path, root_version_, watch_wait,
         [this](const store_reply& reply) {
             waiting_ = false;
+            if (stopped_)
+                return;
             if (reply.status == store_status::unchanged && confirmed &&
                 document())
                 confirmed(reply.started);
--- a/src/node/policy_service.hpp
+++ b/src/node/policy_service.hpp
@@ -29,6 +29,9 @@
 
     // Begins to read. The first read is made by every instance.
     void start();
+    // Ends all activity. Store calls in progress still come back to the object,
+    // which has to outlive them.
+    void stop();
 
     // Null until a document is in force.
     const shared_policy& document() const
@@ -85,6 +88,7 @@
     // Version of the store object of the last read root.
     object_version root_version_;
     bool waiting_ = false;
+    bool stopped_ = false;
     QTimer timer_;
 };
 
