Add the capacity experiment

Cause: the figures for 480 instances need slopes that were measured, and no program measured the core libraries by size.

--- /dev/null
+++ b/tools/experiment/fleet_model.cpp
@@ -0,0 +1,43 @@
+#include "tools/experiment/fleet_model.hpp"
+
+#include <filberthub/base/error.hpp>
+
+#include <string>
+
+namespace filberthub::experiment {
+
+fleet_input fleet_input_of(const fleet_size& size)
+{
+    fleet_input input;
+    for (std::size_t index = 0; index < size.members; ++index) {
+        const member_key key{
+            instance_id("hub-" + std::to_string(1000 + index)), incarnation(1)};
+        input.instances.push_back({key,
+            {"127.0.10." + std::to_string(1 + index % 250), 7000},
+            failure_domain_id("domain-" + std::to_string(index % size.domains)),
+            false});
+        input.statuses.push_back({key, true, {}, false});
+    }
+    for (std::size_t index = 0; index < size.servers; ++index)
+        input.servers.emplace_back("server-" + std::to_string(10000 + index));
+    return input;
+}
+
+fleet_table settled_fleet(const fleet_size& size)
+{
+    fleet_input input = fleet_input_of(size);
+    fleet_table table;
+    // Joining, holder lists and the settling of witness lists take one version
+    // each; a planner that needs more than a few does not converge.
+    for (int round = 0; round < 10; ++round) {
+        for (member_status& status : input.statuses)
+            status.settled = table.version();
+        auto next = plan_fleet(table, input);
+        if (!next)
+            return table;
+        table = *std::move(next);
+    }
+    throw error(error_kind::internal, "the fleet planner does not converge");
+}
+
+} // namespace filberthub::experiment
--- /dev/null
+++ b/tools/experiment/main.cpp
@@ -0,0 +1,45 @@
+// Measures cost by size and the qualities of planning and admission, in virtual
+// time and without a network.
+
+#include "tools/experiment/capacity.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <exception>
+#include <iostream>
+
+namespace {
+
+using namespace filberthub::experiment;
+
+int run(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Experiments on the core libraries", ' ', "0.1.0");
+    TCLAP::UnlabeledValueArg<std::string> what(
+        "experiment", "capacity", true, "", "EXPERIMENT", command);
+    command.parse(argc, argv);
+    if (what.getValue() == "capacity") {
+        print_membership_slopes(std::cout);
+        print_fleet_slopes(std::cout);
+        print_ownership_slopes(std::cout);
+        print_request_slopes(std::cout);
+        print_policy_slopes(std::cout);
+        print_news_comparison(std::cout);
+        return 0;
+    }
+    std::cerr << "no experiment is named \"" << what.getValue()
+              << "\"; expected \"capacity\"\n";
+    return 2;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception& problem) {
+        std::cerr << problem.what() << '\n';
+        return 1;
+    }
+}
