--- a/tools/experiment/capacity_membership.cpp
+++ b/tools/experiment/capacity_membership.cpp
@@ -8,6 +8,9 @@
 #include <filberthub/news/news_state.hpp>
 #include <filberthub/wire/codec.hpp>
 
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+
 #include <algorithm>
 #include <map>
 #include <memory>
@@ -46,6 +49,16 @@
     news_state news;
 };
 
+// Size of an encoded message in Cap'n Proto's packed form, which leaves out
+// most zero bytes.
+double packed_bytes(const std::string& bytes)
+{
+    kj::VectorOutputStream output;
+    capnp::_::PackedOutputStream packed(output);
+    packed.write(bytes.data(), bytes.size());
+    return static_cast<double>(output.getArray().size());
+}
+
 struct round_cost
 {
     double send_ns = 0;
@@ -53,6 +66,8 @@
     double ack_ns = 0;
     double heartbeat_bytes = 0;
     double ack_bytes = 0;
+    double packed_heartbeat_bytes = 0;
+    double packed_ack_bytes = 0;
 };
 
 // A fleet that exchanges heartbeats in virtual time, without a network.
@@ -118,24 +133,29 @@
         cost.send_ns = (witnessing - sending) / sent;
         cost.witness_ns = (taking - witnessing) / sent;
         cost.ack_ns = (end - taking) / answered;
-        for (const auto& [to, bytes] : heartbeats)
+        for (const auto& [to, bytes] : heartbeats) {
             cost.heartbeat_bytes += static_cast<double>(bytes.size()) / sent;
-        for (const auto& [to, bytes] : acks)
+            cost.packed_heartbeat_bytes += packed_bytes(bytes) / sent;
+        }
+        for (const auto& [to, bytes] : acks) {
             cost.ack_bytes += static_cast<double>(bytes.size()) / answered;
+            cost.packed_ack_bytes += packed_bytes(bytes) / answered;
+        }
         return cost;
     }
 
     // Nanoseconds for one `is_holder` of a held server.
     double is_holder_ns(time_point now) const
     {
-        for (const auto& [id, member] : participants_) {
-            const auto held = member->tracker.held_servers();
+        for (const auto& entry : participants_) {
+            const participant& member = *entry.second;
+            const auto held = member.tracker.held_servers();
             if (held.empty())
                 continue;
             constexpr int calls = 100'000;
             return least_nanoseconds(20, [&] {
                 for (int call = 0; call < calls; ++call)
-                    keep(member->tracker.is_holder(held.front(), now));
+                    keep(member.tracker.is_holder(held.front(), now));
             }) / calls;
         }
         return 0;
@@ -196,6 +216,8 @@
     series ack("ack_handle", "ns/message", "members");
     series heartbeat_size("heartbeat_wire", "bytes", "members");
     series ack_size("ack_wire", "bytes", "members");
+    series packed_heartbeat("heartbeat_if_packed", "bytes", "members");
+    series packed_ack("ack_if_packed", "bytes", "members");
     series holder("is_holder", "ns", "members");
     series state("membership_state", "bytes/instance", "members");
     series held("leases_held", "leases", "members");
@@ -221,6 +243,8 @@
         ack.add(size, least.ack_ns);
         heartbeat_size.add(size, least.heartbeat_bytes);
         ack_size.add(size, least.ack_bytes);
+        packed_heartbeat.add(size, least.packed_heartbeat_bytes);
+        packed_ack.add(size, least.packed_ack_bytes);
         holder.add(size, fleet.is_holder_ns(now - heartbeat_interval));
         held.add(size,
             static_cast<double>(fleet.leases_held(now - heartbeat_interval)));
@@ -229,7 +253,7 @@
         state.add(size, instance_bytes(table));
     }
     for (const series* each : {&send, &witness, &ack, &heartbeat_size,
-             &ack_size, &holder, &state, &held})
+             &ack_size, &packed_heartbeat, &packed_ack, &holder, &state, &held})
         each->print(stream);
     series intents("witness_intent", "bytes", "intents");
     intents.add(1, intent_bytes(std::make_shared<fleet_table>(
--- a/tools/experiment/series.cpp
+++ b/tools/experiment/series.cpp
@@ -13,6 +13,7 @@
 {
     line_fit fit;
     std::vector<double> weights;
+    weights.reserve(values.size());
     for (const double value : values)
         weights.push_back(value == 0 ? 1 : 1 / (value * value));
     const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
