--- a/tools/experiment/main.cpp
+++ b/tools/experiment/main.cpp
@@ -2,6 +2,7 @@
 // time and without a network.
 
 #include "tools/experiment/capacity.hpp"
+#include "tools/experiment/measures.hpp"
 
 #include <tclap/CmdLine.h>
 
@@ -16,7 +17,12 @@
 {
     TCLAP::CmdLine command("Experiments on the core libraries", ' ', "0.1.0");
     TCLAP::UnlabeledValueArg<std::string> what(
-        "experiment", "capacity", true, "", "EXPERIMENT", command);
+        "experiment", "capacity or measures", true, "", "EXPERIMENT", command);
+    TCLAP::ValueArg<std::string> name("", "deployment",
+        "Deployment of `measures`: golvkarta or meridian", false, "golvkarta",
+        "NAME", command);
+    TCLAP::ValueArg<std::uint64_t> seed(
+        "", "seed", "Seed of `measures`", false, 1, "N", command);
     command.parse(argc, argv);
     if (what.getValue() == "capacity") {
         print_membership_slopes(std::cout);
@@ -27,8 +33,16 @@
         print_news_comparison(std::cout);
         return 0;
     }
+    if (what.getValue() == "measures") {
+        const deployment where = deployment_of(name.getValue());
+        print_imbalance(std::cout, where, seed.getValue());
+        print_churn(std::cout, where, seed.getValue());
+        print_unavailable_time(std::cout, where, seed.getValue());
+        print_service_under_load(std::cout, where, seed.getValue());
+        return 0;
+    }
     std::cerr << "no experiment is named \"" << what.getValue()
-              << "\"; expected \"capacity\"\n";
+              << "\"; expected \"capacity\" or \"measures\"\n";
     return 2;
 }
 
