--- a/tools/experiment/fleet_model.cpp
+++ b/tools/experiment/fleet_model.cpp
@@ -23,6 +23,13 @@
     return input;
 }
 
+fleet_table joining_fleet(const fleet_size& size)
+{
+    fleet_input input = fleet_input_of(size);
+    input.statuses.clear();
+    return plan_fleet(fleet_table(), input).value();
+}
+
 fleet_table settled_fleet(const fleet_size& size)
 {
     fleet_input input = fleet_input_of(size);
--- a/tools/experiment/fleet_model.hpp
+++ b/tools/experiment/fleet_model.hpp
@@ -19,6 +19,9 @@
 // Instances and servers of a fleet in which all members are ready.
 fleet_input fleet_input_of(const fleet_size& size);
 
+// Returns the first table, in which no member is ready and no server is held.
+fleet_table joining_fleet(const fleet_size& size);
+
 // Returns the table after the planner has nothing left to change.
 fleet_table settled_fleet(const fleet_size& size);
 
--- a/tools/experiment/measures_unavailable.cpp
+++ b/tools/experiment/measures_unavailable.cpp
@@ -89,11 +89,12 @@
 {
     const fleet_size size{where.instances, where.servers(), where.domains};
     const auto table = std::make_shared<fleet_table>(settled_fleet(size));
+    const auto joining = std::make_shared<fleet_table>(joining_fleet(size));
     std::mt19937_64 engine(seed);
 
     std::vector<double> instance_gaps;
     for (const fleet_member& member : table->members()) {
-        takeover_run run(table, where.hop, engine());
+        takeover_run run(joining, table, where.hop, engine());
         for (const auto& [server, gap] : run.lose({member.key.instance}))
             instance_gaps.push_back(to_ms(gap + where.hop));
     }
@@ -112,7 +113,7 @@
             if (member.domain == name)
                 lost.insert(member.key.instance);
         }
-        takeover_run run(table, where.hop, engine());
+        takeover_run run(joining, table, where.hop, engine());
         const auto gaps = run.lose(lost);
         std::size_t index = 0;
         for (const auto& entry : table->servers()) {
--- a/tools/experiment/takeover_run.cpp
+++ b/tools/experiment/takeover_run.cpp
@@ -20,7 +20,7 @@
     tracker.adopt(table, started);
 }
 
-takeover_run::takeover_run(
+takeover_run::takeover_run(const fleet_table_ptr& joining,
     fleet_table_ptr table, duration hop, std::uint64_t seed)
     : table_(std::move(table)), delay_(hop / 2), engine_(seed), now_(1s)
 {
@@ -29,16 +29,25 @@
         const time_point start = now_ + milliseconds(phase(engine_));
         starts_[member.key.instance] = start;
         processes_[member.key.instance] =
-            std::make_unique<process>(table_, member, start);
+            std::make_unique<process>(joining, member, start);
     }
+    // Witnesses are silent for 1,224 ms after their start. A table that called
+    // members ready before they held a lease would let that silence prove a
+    // lapse.
+    advance(now_ + 3s);
+    for (const auto& [id, each] : processes_) {
+        each->lease.adopt(*table_, now_);
+        each->ledger.adopt(table_, now_);
+        each->tracker.adopt(table_, now_);
+    }
+    advance(now_ + 1s);
 }
 
 std::map<backend_server_id, duration> takeover_run::lose(
     const std::set<instance_id>& lost)
 {
     std::uniform_int_distribution<std::int64_t> moment(0, 249);
-    // Witnesses are silent for 1,224 ms after their start.
-    advance(now_ + 3s + milliseconds(moment(engine_)));
+    advance(now_ + milliseconds(moment(engine_)));
     std::set<backend_server_id> waiting;
     for (const instance_id& id : lost) {
         process& stopped = *processes_.at(id);
--- a/tools/experiment/takeover_run.hpp
+++ b/tools/experiment/takeover_run.hpp
@@ -1,7 +1,7 @@
 // Runs the lease and takeover classes of a whole fleet in virtual time, stops
 // some instances, and tells when their servers have a holder again.
 //
-//     takeover_run run(table, hop, seed);
+//     takeover_run run(joining, table, hop, seed);
 //     auto gaps = run.lose({instance_id("hub-1000")});
 
 #ifndef FILBERTHUB_TOOLS_EXPERIMENT_TAKEOVER_RUN_HPP
@@ -25,8 +25,11 @@
 class takeover_run
 {
 public:
-    // Messages take half of `hop`. The phases of the heartbeats are random.
-    takeover_run(fleet_table_ptr table, duration hop, std::uint64_t seed);
+    // The members join with `joining`, which has the same members as `table`
+    // but none of them ready. Messages take half of `hop`. The phases of the
+    // heartbeats are random.
+    takeover_run(const fleet_table_ptr& joining, fleet_table_ptr table,
+        duration hop, std::uint64_t seed);
 
     // Stops the instances at a random moment. Returns the time until each
     // server that they held has another holder.
