Exchange groups when no server has room for a hot key

Cause: two hot keys can come to lie on one server. A heavy key moves only to a server with room for it below the stop ratio. With 10 keys of 5% each and 14 servers at a mean of 7.1% no server has any, so the plan ends at 1.4 to 3.0 and stays there until the hot set changes.

Ruled out: the hints (all 10 keys are found and isolated at the next plan), measured weights (0.9 to 1.1 of a slot each, 0.98 expected), unsettled moves (the same table at each of 30 plans). A higher stop ratio would need room for a whole hot key on a server, 1.7 times the mean.

The new test fails without the change.

--- a/src/ownership/ownership_planner.cpp
+++ b/src/ownership/ownership_planner.cpp
@@ -3,6 +3,7 @@
 #include <filberthub/ownership/ownership_planner.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <queue>
 
 namespace filberthub {
@@ -87,27 +88,17 @@
     {
         if (state_.imbalance() <= limits_.start_ratio)
             return;
-        receivers all(state_, limits_.stop_ratio, state_.usable_servers);
-        receivers empty(state_, 1, empty_);
-        auto by_server = movable_groups();
-        for (const server_index index : state_.usable_servers) {
-            auto& groups = by_server[index.value()];
-            while (load(index) > at(index, limits_.stop_ratio)) {
-                // Empty servers come first: what goes elsewhere would have to
-                // be made up by further moves.
-                const bool filled = enough(empty);
-                server_index to = filled ? all.top() : empty.top();
-                const double room =
-                    filled ? all.headroom(to) : empty.headroom(to);
-                auto chosen = choose(groups, index, room, filled);
-                if (chosen == groups.end() && !filled) {
-                    to = all.top();
-                    chosen = choose(groups, index, all.headroom(to), true);
-                }
-                if (chosen == groups.end())
-                    break;
-                state_.place(state_.groups[*chosen], to);
-                groups.erase(chosen);
+        auto groups = movable_groups();
+        relieve(state_.usable_servers, groups);
+        // Two hot keys on one server stay there if no other server has room
+        // for one of them beside its own groups.
+        bool changed = true;
+        while (changed) {
+            changed = false;
+            for (const server_index index : state_.usable_servers) {
+                if (load(index) > at(index, limits_.start_ratio) &&
+                    exchange(index, groups))
+                    changed = true;
             }
         }
     }
@@ -139,6 +130,69 @@
     // Positions of groups by server, heaviest first.
     using groups_by_server = std::vector<std::vector<std::size_t>>;
 
+    // Takes groups off each of `servers` that is above the stop ratio, as long
+    // as others have room for them.
+    void relieve(
+        const std::vector<server_index>& servers, groups_by_server& by_server)
+    {
+        receivers all(state_, limits_.stop_ratio, state_.usable_servers);
+        receivers empty(state_, 1, empty_);
+        for (const server_index index : servers) {
+            auto& groups = by_server[index.value()];
+            while (load(index) > at(index, limits_.stop_ratio)) {
+                // Empty servers come first: what goes elsewhere would have to
+                // be made up by further moves.
+                const bool filled = enough(empty);
+                server_index to = filled ? all.top() : empty.top();
+                const double room =
+                    filled ? all.headroom(to) : empty.headroom(to);
+                auto chosen = choose(groups, index, room, filled);
+                if (chosen == groups.end() && !filled) {
+                    to = all.top();
+                    chosen = choose(groups, index, all.headroom(to), true);
+                }
+                if (chosen == groups.end())
+                    break;
+                state_.place(state_.groups[*chosen], to);
+                groups.erase(chosen);
+            }
+        }
+    }
+
+    // Moves a group of the overloaded `from` to a server that can give away
+    // lighter groups instead. Returns false if there is none.
+    bool exchange(server_index from, groups_by_server& by_server)
+    {
+        auto& groups = by_server[from.value()];
+        const auto chosen =
+            choose(groups, from, std::numeric_limits<double>::infinity(), true);
+        if (chosen == groups.end())
+            return false;
+        planned_group& group = state_.groups[*chosen];
+        server_index to = no_server;
+        double least_excess = std::numeric_limits<double>::infinity();
+        for (const server_index index : state_.usable_servers) {
+            double lighter = 0;
+            for (const std::size_t position : by_server[index.value()]) {
+                if (state_.groups[position].weight < group.weight)
+                    lighter += state_.groups[position].weight;
+            }
+            const double filled = load(index) + group.weight;
+            const double excess = filled - at(index, limits_.stop_ratio);
+            if (index == from || excess >= least_excess ||
+                filled - lighter > at(index, limits_.start_ratio))
+                continue;
+            to = index;
+            least_excess = excess;
+        }
+        if (to == no_server)
+            return false;
+        state_.place(group, to);
+        groups.erase(chosen);
+        relieve({to}, by_server);
+        return true;
+    }
+
     double load(server_index index) const
     {
         return state_.slots[index.value()].load;
--- a/test/ownership/ownership_planner_test.cpp
+++ b/test/ownership/ownership_planner_test.cpp
@@ -1,4 +1,5 @@
 #include "ownership/fleet_model.hpp"
+#include "ownership/test_tables.hpp"
 
 #include <filberthub/ownership/baseline_planners.hpp>
 #include <filberthub/ownership/ownership_planner.hpp>
@@ -121,6 +122,27 @@
     ownership_table table;
 };
 
+// Guards against two hot keys that stay on one server because no other server
+// has room for one of them before it gave away groups of its own.
+TEST(OwnershipPlanner, SeparatesTwoHeavyGroupsIfNoServerHasRoom)
+{
+    const group_count groups(512);
+    const ownership_table table = test::round_robin_table(8, groups);
+    const fleet_model fleet(8, 2, 1);
+    group_weights weights(groups);
+    // 60 of a mean of 78.75 each, while the others have room for 18.
+    weights.set(key_group(0), 60);
+    weights.set(key_group(8), 60);
+    plan_hints hints;
+    hints.settled = table.version();
+    const plan_result plan =
+        ownership_planner().plan(table, fleet.servers(), weights, hints);
+    EXPECT_NE(plan.table.at(key_group(0)).primary,
+        plan.table.at(key_group(8)).primary);
+    EXPECT_LE(plan.imbalance_after, 1.08);
+    EXPECT_EQ(fault_of(table, plan, fleet.servers()), "");
+}
+
 TEST_F(PlannedService, PutsBackupsInOtherFailureDomains)
 {
     for (std::uint32_t number = 0; number < groups.value(); ++number) {
--- a/tools/experiment/measures_load.cpp
+++ b/tools/experiment/measures_load.cpp
@@ -95,6 +95,10 @@
         details["baseline_p99_without_ms"] = plain_calm;
         details["baseline_goodput"] = plain_result.goodput;
         details["slowness"] = scenario.slowness;
+        // Below 1, the servers cannot carry the load whatever the choice is.
+        details["capacity_by_load"] =
+            (service.servers - stragglers * (1 - 1 / scenario.slowness)) /
+            service.servers / scenario.load;
         if (service.keyed)
             details["note"] = "keys stay; the planner takes no part here";
         print(stream, where, seed,
