Prove with real processes that callers survive a killed instance

Cause: the promises were checked in models of the core only. No run with processes wrote a history that the checkers read.

--- a/src/node/group_handover.cpp
+++ b/src/node/group_handover.cpp
@@ -22,10 +22,12 @@
     const auto own = table.index_of(server_);
     for (const key_group group : groups) {
         const assignment& owner = table.at(group);
-        const auto former = table.servers_to_release(group);
+        const std::vector<pending_release> former =
+            table.releases_before(group);
         if (!own || owner.primary != *own) {
             if (own && owner.primary != no_server &&
-                std::find(former.begin(), former.end(), *own) != former.end())
+                std::ranges::find(former, *own, &pending_release::server) !=
+                    former.end())
                 departed_.push_back(
                     {group, owner.token, table.server(owner.primary)});
             continue;
@@ -37,8 +39,8 @@
         }
         awaited wait{owner.token, {}};
         const auto earlier = waited.find(group);
-        for (const server_index index : former) {
-            const backend_server_id& id = table.server(index);
+        for (const pending_release& release : former) {
+            const backend_server_id& id = table.server(release.server);
             const bool released = earlier != waited.end() &&
                                   earlier->second.token == owner.token &&
                                   !earlier->second.servers.contains(id);
--- a/tools/backend_standin/backend_server.cpp
+++ b/tools/backend_standin/backend_server.cpp
@@ -14,12 +14,6 @@
     return value ? json(*value) : json();
 }
 
-json number_header(const http_request& request, std::string_view name)
-{
-    const auto value = request.headers.get(name);
-    return value ? json(parse_number(name, *value)) : json();
-}
-
 work_request work_of(const http_request& request)
 {
     work_request work;
@@ -253,16 +247,27 @@
 {
     if (!history_.enabled())
         return;
-    json line{{"who", model_.options().id.value()}, {"what", "run"},
-        {"request_id", header_json(request, "Filberthub-Request-Id")},
-        {"key", header_json(request, "Filberthub-Key")},
-        {"group", number_header(request, "Filberthub-Key-Group")},
-        {"token", number_header(request, "Filberthub-Fencing-Token")},
-        {"method", request.method},
-        {"start_ns", event.start.time_since_epoch().count()},
-        {"end_ns", event.end.time_since_epoch().count()}};
-    if (event.result == work_result::cut)
-        line["cut"] = true;
+    const server_options& options = model_.options();
+    const auto text = [&](std::string_view name) {
+        return std::string(request.headers.get(name).value_or(""));
+    };
+    history_event line;
+    line.who = options.id.value();
+    line.what = event_kind::execute;
+    line.invoke = event.start;
+    line.returned = event.end;
+    line.result =
+        event.result == work_result::cut ? outcome::unknown : outcome::done;
+    line.server = options.id;
+    line.domain = options.domain;
+    line.service = options.service;
+    line.key = text("Filberthub-Key");
+    line.request = request_id(text("Filberthub-Request-Id"));
+    line.idempotent = options.idempotent;
+    const work_request work = work_of(request);
+    line.group = work.group;
+    if (work.token.value() != 0)
+        line.token = work.token;
     history_.append(line);
 }
 
--- a/tools/common/history_file.hpp
+++ b/tools/common/history_file.hpp
@@ -1,12 +1,12 @@
 // Appends events as JSON lines to a file.
 //
 //     history_file history("/tmp/history.jsonl");
-//     history.append({{"who", "kartlas-1"}, {"what", "run"}});
+//     history.append(event);
 
 #ifndef FILBERTHUB_TOOLS_COMMON_HISTORY_FILE_HPP
 #define FILBERTHUB_TOOLS_COMMON_HISTORY_FILE_HPP
 
-#include <filberthub/base/json_reader.hpp>
+#include <filberthub/history/event.hpp>
 
 #include <fstream>
 
@@ -33,12 +33,10 @@
         return stream_.is_open();
     }
 
-    void append(const json& event)
+    void append(const history_event& event)
     {
-        if (!enabled())
-            return;
-        stream_ << event.dump(-1, ' ', false, json::error_handler_t::replace)
-                << std::endl;
+        if (enabled())
+            stream_ << encode_line(event) << std::endl;
     }
 
 private:
--- a/tools/loadgen/load_run.cpp
+++ b/tools/loadgen/load_run.cpp
@@ -19,6 +19,31 @@
     std::cout << line.dump() << std::endl;
 }
 
+outcome history_outcome(call_outcome seen)
+{
+    switch (seen) {
+    case call_outcome::served:
+    case call_outcome::wrong:
+        return outcome::done;
+    case call_outcome::refused:
+        return outcome::not_run;
+    case call_outcome::unknown:
+        break;
+    }
+    return outcome::unknown;
+}
+
+std::optional<error_kind> error_of(const http_response& response)
+{
+    const auto name = response.headers.get("Filberthub-Error");
+    for (std::size_t number = 0; name && number < error_kind_count; ++number) {
+        const auto kind = static_cast<error_kind>(number);
+        if (answer_for(kind).name == *name)
+            return kind;
+    }
+    return std::nullopt;
+}
+
 double to_ms(duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -162,21 +187,29 @@
 }
 
 void load_run::record(const call& item, const http_result& result,
-    call_outcome outcome, time_point now)
+    call_outcome seen, time_point now)
 {
     if (!history_.enabled())
         return;
     const service_load& load = mix_.services()[item.plan.service];
-    history_.append({{"who", options_.name}, {"what", "call"},
-        {"request_id", item.expected.request_id},
-        {"key", item.expected.key ? json(*item.expected.key) : json()},
-        {"service", item.expected.service}, {"method", load.method},
-        {"idempotent", load.idempotent},
-        {"invoke_ns", item.intended.time_since_epoch().count()},
-        {"return_ns", now.time_since_epoch().count()},
-        {"outcome", to_string(outcome)},
-        {"status", result.response ? result.response->status : 0},
-        {"instance", to_string(options_.entries[item.entry])}});
+    history_event event;
+    event.who = options_.name;
+    event.what = event_kind::request;
+    event.invoke = item.intended;
+    event.returned = now;
+    event.request = request_id(item.expected.request_id);
+    event.service = load.service;
+    event.key = item.expected.key.value_or("");
+    event.instance = instance_id(to_string(options_.entries[item.entry]));
+    event.idempotent = load.idempotent;
+    event.result = history_outcome(seen);
+    if (result.response)
+        event.error = error_of(*result.response);
+    if (event.result == outcome::done) {
+        event.expected_digest = "own";
+        event.digest = seen == call_outcome::wrong ? "other" : "own";
+    }
+    history_.append(event);
 }
 
 void load_run::end_second()
--- a/tools/loadgen/load_run.hpp
+++ b/tools/loadgen/load_run.hpp
@@ -73,8 +73,8 @@
     http_request request_for(const call& item) const;
     std::size_t choose_entry(time_point now);
     void finish(const call& item, const http_result& result);
-    void record(const call& item, const http_result& result,
-        call_outcome outcome, time_point now);
+    void record(const call& item, const http_result& result, call_outcome seen,
+        time_point now);
     void end_second();
     void stop_if_complete();
 
--- a/tools/model/server_model.cpp
+++ b/tools/model/server_model.cpp
@@ -54,6 +54,7 @@
     options.cold_limit = static_cast<std::size_t>(
         reader.integer_or("cold_limit", 1, 100'000, 1));
     options.checks_tokens = reader.boolean_or("checks_tokens", true);
+    options.idempotent = reader.boolean_or("idempotent", true);
     options.report_lag =
         duration_or(reader, "report_lag_ms", options.report_lag);
     reader.finish();
--- a/tools/model/server_model.hpp
+++ b/tools/model/server_model.hpp
@@ -35,6 +35,8 @@
     // Requests that a cold server bears at once.
     std::size_t cold_limit = 1;
     bool checks_tokens = true;
+    // Whether a request may run twice, for the history.
+    bool idempotent = true;
     // Age of what the load report tells.
     duration report_lag{0};
 };
