--- a/scripts/prove/platform_faults.py
+++ b/scripts/prove/platform_faults.py
@@ -1,6 +1,7 @@
 """Proofs with outages and lost replies of the object store, and of policy
 revisions."""
 
+import contextlib
 import json
 import threading
 
@@ -34,10 +35,9 @@
     invoke = run.now()
     done = instance.operate("policy", "propose", path, "--author",
                             instance.name)
-    try:
-        answer = json.loads(done.stdout)
-    except ValueError:
-        answer = {"outcome": "no answer", "message": done.stdout}
+    answer = {"outcome": "no answer", "message": done.stdout}
+    with contextlib.suppress(ValueError):
+        answer.update(json.loads(done.stdout))
     if answer["outcome"] == "accepted":
         run.history.add("revision_accepted", invoke, run.now(),
                         document=answer["revision"])
--- a/scripts/prove/scenario.py
+++ b/scripts/prove/scenario.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import re
+import signal
 import subprocess
 import threading
 import time
@@ -133,6 +134,11 @@
         if self.gap_from is None:
             return
         for instance in self.deployment.instances:
+            code = instance.process.exit_code()
+            if code not in (None, 0, -signal.SIGKILL):
+                raise processes.Failure(
+                    f"{instance.name} ended with {code}, expected none to end "
+                    "unless it was told to")
             if instance.running() and instance.runs == 1:
                 self.history.add("running", self.gap_from, end,
                                  who=instance.run_name)
--- a/src/node/operator_service.cpp
+++ b/src/node/operator_service.cpp
@@ -42,8 +42,7 @@
         response.body = metrics();
         exchange->respond(std::move(response));
     } else {
-        exchange->respond(
-            json_response(404, {{"message", "there is no page " + target}}));
+        handle_policy(exchange);
     }
 }
 
--- a/tools/history_check/main.cpp
+++ b/tools/history_check/main.cpp
@@ -5,10 +5,7 @@
 
 #include <filberthub/history/checkers.hpp>
 
-#include <tclap/CmdLine.h>
-
 #include <algorithm>
-#include <array>
 #include <iostream>
 
 namespace {
@@ -69,17 +66,10 @@
     return false;
 }
 
-int run(int argc, char** argv)
+int run(const std::vector<std::string>& paths)
 {
-    TCLAP::CmdLine command("Checks the histories of a test run. Exit codes: 0 "
-                           "no violation, 1 violations, 2 usage or input",
-        ' ', "0.1.0");
-    const TCLAP::UnlabeledMultiArg<std::string> files(
-        "files", "Files with one event a line", true, "FILE", command);
-    command.parse(argc, argv);
-
     std::vector<std::vector<history_event>> histories;
-    for (const std::string& path : files.getValue()) {
+    for (const std::string& path : paths) {
         try {
             histories.push_back(decode_history(tools::read_file(path)));
         } catch (const error& failure) {
@@ -97,10 +87,15 @@
 
 int main(int argc, char** argv)
 {
+    const std::vector<std::string> paths(argv + 1, argv + argc);
+    if (paths.empty() || paths.front().starts_with("-")) {
+        std::cerr << "usage: history_check FILE...\nChecks histories with one "
+                     "event a line. Exit codes: 0 no violation, 1 violations, "
+                     "2 usage or input\n";
+        return 2;
+    }
     try {
-        return run(argc, argv);
-    } catch (const TCLAP::ArgException& failure) {
-        std::cerr << failure.error() << " " << failure.argId() << "\n";
+        return run(paths);
     } catch (const std::exception& failure) {
         std::cerr << "history_check: " << failure.what() << "\n";
     }
