--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,8 +24,6 @@
 // The balancer sees that the instance leaves and sends no new callers.
 constexpr milliseconds balancer_notice{500};
 constexpr milliseconds leave_limit{20'000};
-// Longer than the timeout of any call to the store.
-constexpr milliseconds retired_parts_lifetime{10'000};
 
 } // namespace
 
@@ -46,7 +44,8 @@
     explicit parts(const settings& own) : config(own), store(own.platform) {}
 
     void open_listeners();
-    void join();
+    // `earlier` is the policy of the incarnation before this one, or null.
+    void join(const policy_service* earlier);
     void rejoin();
     void on_message(peer_connection& connection, peer_message message);
     void on_policy();
@@ -95,7 +94,7 @@
     operators->listen(config.operators);
 }
 
-void node::parts::join()
+void node::parts::join(const policy_service* earlier)
 {
     const hello_message hello{config.instance, new_incarnation()};
     membership_parts& m = membership;
@@ -115,6 +114,8 @@
         const auto rank = membership.fleet->rank();
         return rank && *rank < planner_count;
     });
+    if (earlier != nullptr)
+        m.policy->restore(*earlier);
     fleet_environment fleet_needs;
     fleet_needs.self = {.id = config.instance,
         .run = hello.run,
@@ -191,6 +192,8 @@
     m.fleet->start();
     m.ownership->start();
     m.holders->start();
+    if (m.policy->document())
+        on_policy();
 }
 
 void node::parts::rejoin()
@@ -198,14 +201,9 @@
     if (leaving)
         return;
     log_event(log_level::warn, "joining again with a new incarnation");
-    // Calls to the store that the old parts made come back to them.
-    auto old = std::make_shared<membership_parts>(std::move(membership));
-    old->fleet->stop();
-    old->policy->stop();
-    old->ownership->stop();
-    QTimer::singleShot(retired_parts_lifetime, callers.get(), [old] {});
+    const membership_parts old = std::move(membership);
     membership = {};
-    join();
+    join(old.policy.get());
     entry->set_membership(*membership.fleet, *membership.holders,
         *membership.ownership, *membership.policy, *membership.hub);
     if (lapsed)
@@ -285,7 +283,7 @@
 {
     parts& p = *parts_;
     p.open_listeners();
-    p.join();
+    p.join(nullptr);
     p.entry = std::make_unique<entry_service>(
         entry_environment{.self = p.config.instance,
             .fleet = p.membership.fleet.get(),
--- a/src/node/ownership_service.cpp
+++ b/src/node/ownership_service.cpp
@@ -1,6 +1,7 @@
 #include "node/ownership_service.hpp"
 
 #include "node/clock.hpp"
+#include "node/while_alive.hpp"
 
 #include <filberthub/telemetry/log.hpp>
 
@@ -25,12 +26,6 @@
     timer_.start(tick_interval);
 }
 
-void ownership_service::stop()
-{
-    timer_.stop();
-    changed = nullptr;
-}
-
 void ownership_service::apply_policy()
 {
     for (const auto& [name, policy] : environment_.policy()->services()) {
@@ -107,8 +102,8 @@
 {
     entry& item = entries_.at(service);
     item.busy = true;
-    environment_.store->get(
-        path_of(service), [this, service](const store_reply& reply) {
+    environment_.store->get(path_of(service),
+        while_alive(this, [this, service](const store_reply& reply) {
             entry& read_entry = entries_.at(service);
             read_entry.busy = false;
             if (reply.status == store_status::unavailable)
@@ -127,7 +122,7 @@
                     {{log_key::service, service.value()},
                         {log_key::error, std::string_view(failure.what())}});
             }
-        });
+        }));
 }
 
 void ownership_service::adopt(const service_id& service, ownership_table table)
@@ -219,7 +214,8 @@
     entry& item = entries_.at(service);
     item.busy = true;
     environment_.store->put(path_of(service), item.store_version,
-        encode(table).dump(), [this, service, table](const store_reply& reply) {
+        encode(table).dump(),
+        while_alive(this, [this, service, table](const store_reply& reply) {
             entry& written = entries_.at(service);
             written.busy = false;
             written.change_wanted.reset();
@@ -236,7 +232,7 @@
                 {{log_key::service, service.value()},
                     {"table_version", table.version().value()}});
             adopt(service, table);
-        });
+        }));
 }
 
 std::string ownership_service::path_of(const service_id& service) const
--- a/src/node/policy_service.hpp
+++ b/src/node/policy_service.hpp
@@ -27,11 +27,13 @@
     policy_service(store_client& store, news_service& news,
         std::function<bool()> reads_store);
 
+    // Takes over what is in force at a service of an earlier incarnation, so
+    // that the revision of the process does not fall. To be called before
+    // `start`.
+    void restore(const policy_service& earlier);
+
     // Begins to read. The first read is made by every instance.
     void start();
-    // Ends all activity. Store calls in progress still come back to the object,
-    // which has to outlive them.
-    void stop();
 
     // Null until a document is in force.
     const shared_policy& document() const
@@ -88,7 +90,6 @@
     // Version of the store object of the last read root.
     object_version root_version_;
     bool waiting_ = false;
-    bool stopped_ = false;
     QTimer timer_;
 };
 
