Widen two products before they are used as sizes

Cause: clang-tidy refuses the header of the load experiment when a source that includes it is checked (bugprone-implicit-widening-of-multiplication-result).

--- a/include/filberthub/admission/load_experiment.hpp
+++ b/include/filberthub/admission/load_experiment.hpp
@@ -162,7 +162,8 @@
     lent_credits(load_world& world, duration keep)
         : world_(world),
           keep_(keep),
-          idle_(world.scenario().servers * world.scenario().instances)
+          idle_(std::size_t{world.scenario().servers} *
+                world.scenario().instances)
     {
         gate_type::builder builder;
         builder.slots(world.scenario().slots)
@@ -257,7 +258,8 @@
 public:
     explicit local_guess(load_world& world)
         : world_(world),
-          views_(world.scenario().servers * world.scenario().instances)
+          views_(std::size_t{world.scenario().servers} *
+                 world.scenario().instances)
     {
         for (view& each : views_)
             each.limit.start(world.scenario().slots);
--- a/tools/experiment/measures_unavailable.cpp
+++ b/tools/experiment/measures_unavailable.cpp
@@ -101,6 +101,7 @@
     report(stream, where, seed, "instance lost", instance_gaps, simulated);
 
     std::vector<double> server_gaps;
+    server_gaps.reserve(1000);
     for (int sample = 0; sample < 1000; ++sample)
         server_gaps.push_back(server_gap_ms(engine));
     report(stream, where, seed, "server lost", server_gaps, computed);
