--- a/scripts/prove/callers.py
+++ b/scripts/prove/callers.py
@@ -34,6 +34,8 @@
         self.connection = None
         self.instance = None
         self.number = 0
+        # The backend server of the last answer.
+        self.server = None
         self.counts = {"done": 0, "not-run": 0, "unknown": 0, "cut": 0}
         # Ends of complete answers, with the start of the load.
         self.answers = []
@@ -93,7 +95,7 @@
             result = response.getheader("Filberthub-Outcome", "unknown")
             error = response.getheader("Filberthub-Error")
             if result == "done" and response.status == 200:
-                digest = digest_of_answer(answer)
+                digest, self.server = digest_of_answer(answer)
             if response.will_close:
                 self._close()
         except (OSError, http.client.HTTPException) as failure:
@@ -120,13 +122,15 @@
 
 
 def digest_of_answer(body):
-    """What the backend server says it answered; it repeats the request."""
+    """Returns the digest of the request that the answer repeats, and the
+    backend server."""
     try:
         seen = json.loads(body)
         return digest_of(seen["service"], seen["method"], seen["target"],
-                         seen["request_id"], seen["key"], seen["body_bytes"])
+                         seen["request_id"], seen["key"],
+                         seen["body_bytes"]), seen["server"]
     except (ValueError, KeyError, TypeError):
-        return f"not an answer of a backend server: {body[:80]!r}"
+        return f"not an answer of a backend server: {body[:80]!r}", None
 
 
 class Load:
@@ -191,6 +195,10 @@
     def cuts(self):
         return [cut for caller in self.callers for cut in caller.cuts]
 
+    def keyed_servers(self):
+        """The backend servers that own the keys of the load."""
+        return sorted({c.server for c in self.callers if c.key and c.server})
+
     def longest_gap(self, start, end, keyed):
         """The longest time in seconds without an answer, and whose."""
         worst = (0.0, "none")
--- a/scripts/prove/edit_faults.py
+++ b/scripts/prove/edit_faults.py
@@ -26,7 +26,7 @@
 
 
 # An edit takes long enough that all of them are in progress at the kill.
-@scenario("edit-repeated", service_ms={"kartskriv": 600.0},
+@scenario("edit-repeated", short=True, service_ms={"kartskriv": 600.0},
           load={"editors": 0})
 def edit_repeated(run):
     """P7: an edit whose entry crashed is repeated through another entry."""
--- a/scripts/prove/instance_faults.py
+++ b/scripts/prove/instance_faults.py
@@ -5,20 +5,30 @@
 from scenario import scenario
 
 
+def any_holder(run):
+    """A random instance that holds servers with keys."""
+    def holds_keys(instance):
+        return any(item["server"].startswith("kartlas-")
+                   for item in instance.status()["held"])
+    return run.random.choice(
+        [i for i in run.deployment.instances if holds_keys(i)])
+
+
 @scenario("instance-killed", short=True)
 def instance_killed(run):
     """P11: an instance is killed under load."""
-    victim = run.random.choice(run.deployment.instances)
+    victim = any_holder(run)
     run.note(f"killed {victim.name}")
     run.kill(victim)
     run.served_again()
+    run.serve_for(3.0)
     run.wait(run.deployment.settled, "the others hold all servers")
 
 
 @scenario("instance-paused")
 def instance_paused(run):
     """P1, P11: a holder sleeps past its lease and must not resume it."""
-    victim = run.random.choice(run.deployment.instances)
+    victim = any_holder(run)
     before = victim.status()["incarnation"]
     run.note(f"paused {victim.name}")
     run.loss(instance=victim.name)
@@ -49,7 +59,7 @@
 @scenario("graceful-shutdown", short=True)
 def graceful_shutdown(run):
     """P9: no request is cut when one instance leaves under load."""
-    seconds = leave(run, run.random.choice(run.deployment.instances))
+    seconds = leave(run, any_holder(run))
     run.note(f"left in {seconds:.1f} s")
     run.served_again()
     run.uncut()
--- a/scripts/prove/server_faults.py
+++ b/scripts/prove/server_faults.py
@@ -3,19 +3,16 @@
 import processes
 from scenario import scenario
 
-VICTIM = "kartlas-1"
+KEYED = tuple(f"kartlas-{number}" for number in range(1, 15))
 
 
-def keyed_servers(run):
-    return [name for name, server in run.deployment.servers.items()
-            if server["service"] == "kartlas"]
-
-
-@scenario("server-killed", short=True, alone=(VICTIM,))
+@scenario("server-killed", short=True, alone=KEYED)
 def server_killed(run):
     """P1, P11: the process of a server with keys is killed."""
-    run.loss(server=VICTIM)
-    run.deployment.kill_backend(VICTIM)
+    server = run.random.choice(run.load.keyed_servers())
+    run.note(f"killed {server}")
+    run.loss(server=server)
+    run.deployment.kill_backend(server)
     run.served_again()
     run.serve_for(3.0)
 
@@ -23,7 +20,7 @@
 @scenario("server-frozen")
 def server_frozen(run):
     """P1, P11: a server freezes longer than its grants and returns."""
-    server = run.random.choice(keyed_servers(run))
+    server = run.random.choice(run.load.keyed_servers())
     run.note(f"froze {server}")
     run.loss(server=server)
     run.deployment.control_server(server, state="freeze", ms=4000)
@@ -37,7 +34,7 @@
           load={"readers": 32, "pause": 0.01})
 def server_cold(run):
     """P3: a server becomes cold again without a word."""
-    server = run.random.choice(keyed_servers(run))
+    server = run.random.choice(run.load.keyed_servers())
     counters = run.deployment.server_counters
     before = counters(server)
     seconds = 4.0
