Tell a link that never connected from one that was lost

Cause: after an instance was killed, requests that waited for a connection to it were answered as outcome unknown, although no byte had left.

A failed attempt to connect now counts as a proof of not run, so that the request goes to the next holder.

--- a/include/filberthub/net/peer_link.hpp
+++ b/include/filberthub/net/peer_link.hpp
@@ -87,9 +87,11 @@
 {
 public:
     // `lost` is called each time an established connection closes or an attempt
-    // to connect fails. Messages sent before are lost or their fate unknown.
+    // to connect fails. The fate of messages that were sent before is unknown
+    // if the connection was established; otherwise it is proved that the peer
+    // did not get them.
     peer_link(endpoint address, hello_message hello, peer_handler handler,
-        std::function<void(const std::string& reason)> lost);
+        std::function<void(bool established)> lost);
     ~peer_link() override;
 
     // Queues a message. Returns false if it was not accepted, which proves that
@@ -109,12 +111,12 @@
 private:
     void connect_to_peer();
     void on_connected();
-    void on_failed(const std::string& reason);
+    void on_failed();
 
     endpoint address_;
     hello_message hello_;
     peer_handler handler_;
-    std::function<void(const std::string&)> lost_;
+    std::function<void(bool)> lost_;
     QTcpSocket* socket_ = nullptr;
     peer_connection* connection_ = nullptr;
     std::vector<peer_message> waiting_;
--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -120,15 +120,14 @@
 }
 
 peer_link::peer_link(endpoint address, hello_message hello,
-    peer_handler handler, std::function<void(const std::string&)> lost)
+    peer_handler handler, std::function<void(bool)> lost)
     : address_(std::move(address)),
       hello_(std::move(hello)),
       handler_(std::move(handler)),
       lost_(std::move(lost))
 {
     connect_timer_.setSingleShot(true);
-    connect(&connect_timer_, &QTimer::timeout, this,
-        [this] { on_failed("connect timeout"); });
+    connect(&connect_timer_, &QTimer::timeout, this, [this] { on_failed(); });
 }
 
 peer_link::~peer_link()
@@ -161,9 +160,7 @@
     socket_ = new QTcpSocket;
     connect(socket_, &QTcpSocket::connected, this, [this] { on_connected(); });
     connect(socket_, &QTcpSocket::errorOccurred, this,
-        [this](QAbstractSocket::SocketError) {
-            on_failed(socket_->errorString().toStdString());
-        });
+        [this](QAbstractSocket::SocketError) { on_failed(); });
     connect_timer_.start(connect_timeout);
     socket_->connectToHost(
         QHostAddress(QString::fromStdString(address_.address)), address_.port);
@@ -174,18 +171,18 @@
     connect_timer_.stop();
     QTcpSocket* socket = std::exchange(socket_, nullptr);
     socket->disconnect(this);
-    connection_ = new peer_connection(
-        socket, handler_, [this](const std::string& reason) {
+    connection_ =
+        new peer_connection(socket, handler_, [this](const std::string&) {
             connection_ = nullptr;
             if (lost_)
-                lost_(reason);
+                lost_(true);
         });
     connection_->send(hello_);
     for (const peer_message& message : std::exchange(waiting_, {}))
         connection_->send(message);
 }
 
-void peer_link::on_failed(const std::string& reason)
+void peer_link::on_failed()
 {
     connect_timer_.stop();
     if (socket_ == nullptr)
@@ -196,7 +193,7 @@
     socket->deleteLater();
     waiting_.clear();
     if (lost_)
-        lost_(reason);
+        lost_(false);
 }
 
 } // namespace filberthub
--- a/src/node/entry_service.cpp
+++ b/src/node/entry_service.cpp
@@ -320,25 +320,26 @@
         loads_[server] = {answer.load, clock_now()};
 }
 
-void entry_service::on_link_lost(const instance_id& instance)
+void entry_service::on_link_lost(const instance_id& instance, bool established)
 {
-    answer_message unknown;
-    unknown.kind = error_kind::outcome_unknown;
-    unknown.message = "the link to " + instance.value() + " was lost";
+    answer_message lost_answer;
+    lost_answer.kind =
+        established ? error_kind::outcome_unknown : error_kind::no_holder;
+    lost_answer.message = "the link to " + instance.value() + " was lost";
     std::vector<entry_number> relayed;
     for (const auto& item : relays_) {
         if (item.second.sent_to == instance)
             relayed.push_back(item.first);
     }
     for (const entry_number number : relayed)
-        finish_relay(number, unknown);
+        finish_relay(number, lost_answer);
     std::vector<request_ptr> lost;
     for (const auto& item : requests_) {
         if (item.second->sent_to == instance)
             lost.push_back(item.second);
     }
     for (const request_ptr& request : lost)
-        on_attempt_answer(request, unknown, clock_now());
+        on_attempt_answer(request, lost_answer, clock_now());
 }
 
 void entry_service::tick(time_point now)
--- a/src/node/entry_service.hpp
+++ b/src/node/entry_service.hpp
@@ -58,8 +58,9 @@
 
     // Takes the answer of a holder to a forwarded request.
     void on_answer(answer_message answer);
-    // To be called when the link to an instance was lost.
-    void on_link_lost(const instance_id& instance);
+    // To be called when the link to an instance was lost. Without an
+    // established connection the requests in it are proved not to have run.
+    void on_link_lost(const instance_id& instance, bool established);
 
     std::size_t in_flight() const
     {
--- a/src/node/held_server.cpp
+++ b/src/node/held_server.cpp
@@ -78,9 +78,8 @@
     const gate_request offer{number, message.rank, deadline};
     attempt progress(kind_of(message), deadline);
     progress.on(attempt_event::route_found);
-    requests_.emplace(
-        number, held_request{std::move(message), deadline, std::move(done),
-                    progress, std::nullopt});
+    requests_.emplace(number, held_request{std::move(message), deadline,
+                                  std::move(done), progress, std::nullopt});
     if (!view_.is_holder(now)) {
         refuse(number, error_kind::no_holder,
             "this instance does not hold " + server_.id.value());
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -103,9 +103,9 @@
         [this](peer_connection& connection, peer_message message) {
             on_message(connection, std::move(message));
         },
-        [this](const instance_id& instance) {
+        [this](const instance_id& instance, bool established) {
             if (entry)
-                entry->on_link_lost(instance);
+                entry->on_link_lost(instance, established);
             if (membership.edits)
                 membership.edits->on_link_lost(instance);
         });
--- a/src/node/peer_hub.hpp
+++ b/src/node/peer_hub.hpp
@@ -16,7 +16,8 @@
 class peer_hub
 {
 public:
-    using lost_callback = std::function<void(const instance_id&)>;
+    // Called with whether the connection had been established; see `peer_link`.
+    using lost_callback = std::function<void(const instance_id&, bool)>;
 
     peer_hub(hello_message self, peer_handler handler, lost_callback lost)
         : self_(std::move(self)),
@@ -33,8 +34,10 @@
             return;
         if (link)
             retired_.push_back(std::move(link));
-        link = std::make_unique<peer_link>(address, self_, handler_,
-            [this, instance](const std::string&) { lost_(instance); });
+        link = std::make_unique<peer_link>(
+            address, self_, handler_, [this, instance](bool established) {
+                lost_(instance, established);
+            });
     }
 
     // Queues a message. Returns false if it was not accepted, which proves that
