--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -14,6 +14,10 @@
 // is taken.
 constexpr qint64 unread_answer_bytes = qint64{1024} * 1024;
 
+// A caller in the middle of its requests gets "Connection: close" with its next
+// answer; closing a connection between two of them would cut the next one.
+constexpr milliseconds drain_idle_time{1000};
+
 } // namespace
 
 http_connection::http_connection(http_listener& listener, qintptr descriptor)
@@ -173,10 +177,10 @@
     socket_->abort();
 }
 
-void http_connection::close_if_idle()
+void http_connection::close_if_idle(time_point now)
 {
-    if (exchanges_.empty() && !decoder_.in_message() &&
-        socket_->bytesAvailable() == 0)
+    if (now - last_activity_ >= drain_idle_time && exchanges_.empty() &&
+        !decoder_.in_message() && socket_->bytesAvailable() == 0)
         socket_->disconnectFromHost();
 }
 
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -27,8 +27,8 @@
     // Closes the connection if it waited too long for the caller.
     void close_if_expired(time_point now);
 
-    // Closes the connection now if no request is in flight on it.
-    void close_if_idle();
+    // Closes the connection if it has been idle for a second.
+    void close_if_idle(time_point now);
 
 private:
     void read_available();
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -96,7 +96,7 @@
     const std::unordered_set<http_connection*> open = connections_;
     for (http_connection* connection : open) {
         if (draining_)
-            connection->close_if_idle();
+            connection->close_if_idle(now);
         else
             connection->close_if_expired(now);
     }
--- a/src/node/holder_service.cpp
+++ b/src/node/holder_service.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 holder_service::holder_service(holder_environment environment)
-    : environment_(environment)
+    : environment_(std::move(environment))
 {
     connect(&timer_, &QTimer::timeout, this, [this] { tick(clock_now()); });
 }
