Check the 3 s limit for callers without a key again

Cause: the limit had been narrowed to keyed callers after domain-killed showed 4.09 s for a caller of edits, without a trace that allows the case.

--- a/scripts/prove/scenario.py
+++ b/scripts/prove/scenario.py
@@ -150,10 +150,11 @@
         self.note(f"longest time without an answer per key {gap:.2f} s "
                   f"({whose}), without a key {other:.2f} s ({other_whose})")
         self.note(", ".join(f"{n} {name}" for name, n in counts.items()))
-        if gap >= RECOVERY_LIMIT:
+        longest, caller = max((gap, whose), (other, other_whose))
+        if longest >= RECOVERY_LIMIT:
             raise processes.Failure(
-                f"{whose} had no answer for {gap:.2f} s, expected less than "
-                f"{RECOVERY_LIMIT:.1f} s")
+                f"{caller} had no answer for {longest:.2f} s, expected less "
+                f"than {RECOVERY_LIMIT:.1f} s")
         if self.poller.lowered:
             raise processes.Failure("; ".join(self.poller.lowered))
 
