--- a/src/router/backend_links.cpp
+++ b/src/router/backend_links.cpp
@@ -47,7 +47,6 @@
         options.max_connections = connections;
         options.connect_timeout = connect_timeout;
         options.echoed_field = platform_api::header::request_id;
-        options.unframed_answers = true;
         options.idle_limit = idle_limit;
         client = std::make_unique<http_client>(server->entry.address, options);
     }
--- a/src/router/beliefs.cpp
+++ b/src/router/beliefs.cpp
@@ -59,6 +59,10 @@
 
 void beliefs::apply(const fact& item, time_point now)
 {
+    if (item.key == members_key) {
+        apply_members(item);
+        return;
+    }
     if (item.key.starts_with(served_prefix)) {
         apply_served(item.key.substr(std::string(served_prefix).size()), item);
         return;
@@ -165,6 +169,28 @@
     }
 }
 
+void beliefs::apply_members(const fact& item)
+{
+    if (!item.value)
+        return;
+    members_.clear();
+    for (const json& row : json::parse(*item.value)) {
+        members_.push_back({instance_id(row.at(0).get<std::string>()),
+            endpoint_from_string(row.at(1).get<std::string>()),
+            row.at(2).get<double>()});
+    }
+}
+
+std::string beliefs::members_text(const std::vector<fleet_member>& members)
+{
+    json rows = json::array();
+    for (const fleet_member& member : members) {
+        rows.push_back({member.id.value(), to_string(member.address),
+            member.processor_share});
+    }
+    return rows.dump();
+}
+
 void beliefs::apply_served(const std::string& service, const fact& item)
 {
     if (!item.value)
--- a/src/router/beliefs.hpp
+++ b/src/router/beliefs.hpp
@@ -28,6 +28,16 @@
     backend_server_id owner;
 };
 
+// An instance that takes part in the work of the fleet.
+struct fleet_member
+{
+    instance_id id;
+    // Where other instances reach it, over TCP and UDP.
+    endpoint address;
+    // Part of a core that it may use.
+    double processor_share = 1;
+};
+
 class beliefs
 {
 public:
@@ -73,6 +83,13 @@
     std::optional<backend_server_id> owner_of(
         const service_id& service, key_number key) const;
 
+    // Instances that do not leave, as the coordinator knows them.
+    const std::vector<fleet_member>& members() const
+    {
+        return members_;
+    }
+    static std::string members_text(const std::vector<fleet_member>& members);
+
     std::size_t fleet_size() const
     {
         return fleet_size_;
@@ -87,6 +104,8 @@
     }
     double draw();
 
+    // Key of the fact that lists the members of the fleet.
+    static constexpr const char* members_key = "fleet/members";
     // Key of the fact that tells who serves the keys of a service.
     static std::string served_key(const service_id& service);
     static std::string served_text(const std::vector<key_range>& ranges);
@@ -98,6 +117,7 @@
         const std::string& name, const fact& item, time_point now);
     void apply_evacuation(
         const std::string& name, const fact& item, time_point now);
+    void apply_members(const fact& item);
     void apply_served(const std::string& service, const fact& item);
     void refresh_servers(time_point now);
 
@@ -109,6 +129,7 @@
     time_point doubt_until_;
     std::set<failure_domain_id> evacuated_;
     std::map<service_id, std::vector<served_range>> served_;
+    std::vector<fleet_member> members_;
     std::function<void()> changed_;
     std::size_t fleet_size_;
     bool has_servers_ = false;
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -76,13 +76,18 @@
     time_point sent;
     bool done = false;
     bool waiting = false;
+    // Open ask or granted slot at the gate.
+    std::optional<std::uint64_t> gate_number;
+    bool asking = false;
     std::list<request_ref>::iterator position;
 };
 
 caller_service::caller_service(const route_settings& own, beliefs& known,
-    metric_registry& metrics, std::function<time_point()> clock)
+    gate_service& gates, metric_registry& metrics,
+    std::function<time_point()> clock)
     : own_(own),
       known_(known),
+      gates_(gates),
       clock_(std::move(clock)),
       links_(known),
       served_(metrics.add_counter("filberthub_requests_total",
@@ -190,7 +195,7 @@
 
 void caller_service::advance(const request_ref& item)
 {
-    if (item->done)
+    if (item->done || item->asking)
         return;
     const time_point now = clock_();
     if (now + least_attempt_time >= item->state.give_up) {
@@ -202,6 +207,89 @@
         wait(item, now);
         return;
     }
+    if (!ask_gate(item, now))
+        send_alone(item, now);
+}
+
+// Asks the gate of the owner, or of a group of servers. Returns false if there
+// is nobody to ask.
+bool caller_service::ask_gate(const request_ref& item, time_point now)
+{
+    gate_request_slot wanted;
+    wanted.service = item->service;
+    if (item->state.keyed) {
+        wanted.owner = pick_owner(*item, now);
+        if (!wanted.owner)
+            return false;
+    }
+    wanted.excluded = item->used;
+    wanted.domain = own_.domain;
+    wanted.remote_cost = item->exchange->request().body.size() > large_body
+                             ? remote_cost_large
+                             : remote_cost;
+    wanted.rank = item->route->rank;
+    wanted.goal = item->arrived + item->route->latency_goal;
+    wanted.give_up = item->state.give_up;
+    const std::weak_ptr<request> weak = item;
+    item->gate_number = gates_.ask(std::move(wanted),
+        known_.servers().of_service(item->service).size(),
+        [this, weak](const gate_answer& answer) {
+            if (const request_ref same = weak.lock())
+                on_gate_answer(same, answer);
+        });
+    item->asking = item->gate_number.has_value();
+    return item->asking;
+}
+
+void caller_service::on_gate_answer(
+    const request_ref& item, const gate_answer& answer)
+{
+    item->asking = false;
+    if (item->done)
+        return;
+    const time_point now = clock_();
+    switch (answer.verdict) {
+    case gate_answer::kind::silent:
+        item->gate_number.reset();
+        log_event(log_level::info, "gate did not answer",
+            {{log_key::request_id, item->id},
+                {log_key::service, item->service.value()}});
+        send_alone(item, now);
+        return;
+    case gate_answer::kind::refused:
+        item->gate_number.reset();
+        fail(item, failure_of(item->state, false, answer.wait),
+            "no room before the time limit");
+        return;
+    case gate_answer::kind::granted:
+        break;
+    }
+    const observed_server* server = known_.servers().find(answer.server);
+    const bool fit =
+        server != nullptr && now >= server->avoid_until &&
+        (item->state.keyed ? !server->unusable_since ||
+                                 known_.servers().may_send_keyed(*server, now)
+                           : known_.servers().usable(*server));
+    if (fit) {
+        send(item, answer.server, now);
+        return;
+    }
+    report_to_gate(
+        *item, send_outcome::unreachable, milliseconds(0), std::nullopt);
+    send_alone(item, now);
+}
+
+void caller_service::report_to_gate(request& item, send_outcome outcome,
+    milliseconds taken, const std::optional<load_report>& report)
+{
+    if (!item.gate_number)
+        return;
+    gates_.done(*item.gate_number, {outcome, taken, report});
+    item.gate_number.reset();
+}
+
+void caller_service::send_alone(const request_ref& item, time_point now)
+{
     const auto server = pick(*item, now);
     if (server) {
         send(item, *server, now);
@@ -298,6 +386,7 @@
     const send_outcome outcome =
         result.sent ? send_outcome::lost : send_outcome::unreachable;
     known_.servers().on_finished(server, outcome, taken, std::nullopt, now);
+    report_to_gate(*item, outcome, taken, std::nullopt);
     if (result.sent) {
         ++item->state.sends;
         item->state.may_have_run = true;
@@ -325,6 +414,7 @@
     else if (response.status < 300 && !response.headers.get(header::signature))
         outcome = send_outcome::lost;
     known_.servers().on_finished(server, outcome, taken, report, now);
+    report_to_gate(*item, outcome, taken, report);
     ++item->state.sends;
     item->used.push_back(server);
     if (outcome != send_outcome::refused)
@@ -439,6 +529,8 @@
         known_.servers().on_finished(item->server, send_outcome::cancelled,
             elapsed(item->sent, now), std::nullopt, now);
     }
+    report_to_gate(*item, send_outcome::cancelled, elapsed(item->sent, now),
+        std::nullopt);
     log_event(
         log_level::debug, "caller left", {{log_key::request_id, item->id}});
     finish(item);
@@ -451,13 +543,8 @@
 
 load_counts caller_service::take_counts()
 {
-    for (const auto& [service, keys] : counts_.requests) {
-        for (const observed_server* server :
-            known_.servers().of_service(service)) {
-            if (server->service_ms > 0)
-                counts_.service_ms[server->entry.id] = server->service_ms;
-        }
-    }
+    for (const auto& [server, time] : gates_.gate().service_times())
+        counts_.service_ms[server] = time;
     return std::exchange(counts_, {});
 }
 
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -6,6 +6,7 @@
 
 #include "router/backend_links.hpp"
 #include "router/fleet_feed.hpp"
+#include "router/gate_service.hpp"
 
 #include <filberthub/net/http_listener.hpp>
 #include <filberthub/routing/request_rules.hpp>
@@ -20,7 +21,8 @@
 {
 public:
     caller_service(const route_settings& own, beliefs& known,
-        metric_registry& metrics, std::function<time_point()> clock);
+        gate_service& gates, metric_registry& metrics,
+        std::function<time_point()> clock);
 
     void accept(std::shared_ptr<http_exchange> exchange);
 
@@ -44,6 +46,11 @@
     void begin(const request_ref& item);
     void advance(const request_ref& item);
     void wait(const request_ref& item, time_point now);
+    bool ask_gate(const request_ref& item, time_point now);
+    void on_gate_answer(const request_ref& item, const gate_answer& answer);
+    void send_alone(const request_ref& item, time_point now);
+    void report_to_gate(request& item, send_outcome outcome,
+        milliseconds taken, const std::optional<load_report>& report);
     std::optional<backend_server_id> pick(request& item, time_point now);
     std::optional<backend_server_id> pick_owner(request& item, time_point now);
     void send(const request_ref& item, const backend_server_id& server,
@@ -65,6 +72,7 @@
 
     const route_settings& own_;
     beliefs& known_;
+    gate_service& gates_;
     std::function<time_point()> clock_;
     backend_links links_;
     std::list<request_ref> requests_;
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds answer_slack{600};
 constexpr milliseconds retry_delay{250};
 // An instance that was silent this long has left.
-constexpr milliseconds member_timeout{3'000};
+constexpr milliseconds member_timeout{1'500};
 // Together with the own watch that begins then, news still arrive within the
 // platform's tightest bound of 2 s.
 constexpr milliseconds longest_age{1'150};
@@ -77,7 +77,12 @@
         const json document =
             parse_json(exchange->request().body, error_kind::bad_peer_message);
         const instance_id sender(document.at("instance").get<std::string>());
-        members_[sender] = now;
+        members_[sender] = {
+            {sender,
+                endpoint_from_string(
+                    document.at("address").get<std::string>()),
+                document.at("processor_share").get<double>()},
+            document.at("leaving").get<bool>(), now};
         report_(sender, counts_from(document.at("counts")));
         poll item;
         item.exchange = std::move(exchange);
@@ -140,12 +145,22 @@
 std::size_t feed_server::fleet_size(time_point now)
 {
     std::erase_if(members_, [now](const auto& member) {
-        return now >= member.second + member_timeout;
+        return now >= member.second.seen + member_timeout;
     });
     return members_.size() + 1;
 }
 
-feed_client::feed_client(instance_id self, beliefs& known,
+std::vector<fleet_member> feed_server::members() const
+{
+    std::vector<fleet_member> result;
+    for (const auto& [id, seen] : members_) {
+        if (!seen.leaving)
+            result.push_back(seen.member);
+    }
+    return result;
+}
+
+feed_client::feed_client(fleet_member self, beliefs& known,
     std::function<load_counts()> take_counts, std::function<time_point()> clock)
     : self_(std::move(self)),
       known_(known),
@@ -191,7 +206,10 @@
     http_request request;
     request.method = "POST";
     request.target = feed_path;
-    request.body = json{{"instance", self_.value()}, {"run", run_},
+    request.body = json{{"instance", self_.id.value()},
+        {"address", to_string(self_.address)},
+        {"processor_share", self_.processor_share}, {"leaving", leaving_},
+        {"run", run_},
         {"after", after_}, {"counts", counts_json(take_counts_())}}
                        .dump();
     client_->send(std::move(request), hold_ + answer_slack,
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -47,6 +47,8 @@
     void refuse_all();
     // Instances that polled lately, with this one.
     std::size_t fleet_size(time_point now);
+    // Those of them that do not leave, without this one.
+    std::vector<fleet_member> members() const;
 
 private:
     struct poll
@@ -62,20 +64,33 @@
     beliefs& known_;
     std::function<void(const instance_id&, const load_counts&)> report_;
     std::vector<poll> polls_;
-    std::map<instance_id, time_point> members_;
+    struct seen_member
+    {
+        fleet_member member;
+        bool leaving = false;
+        time_point seen;
+    };
+
+    std::map<instance_id, seen_member> members_;
 };
 
 // The side of the others. It polls whatever coordinator it is told.
 class feed_client : public QObject
 {
 public:
-    feed_client(instance_id self, beliefs& known,
+    feed_client(fleet_member self, beliefs& known,
         std::function<load_counts()> take_counts,
         std::function<time_point()> clock);
 
     // Polls this coordinator, or nobody.
     void follow(const std::optional<lease_record>& coordinator);
 
+    // Tells the coordinator that this instance takes no more work.
+    void announce_leaving()
+    {
+        leaving_ = true;
+    }
+
     // Whether the coordinator's news are as fresh as own ones would be.
     bool fresh(time_point now) const;
 
@@ -94,7 +109,8 @@
     void on_answer(http_result result);
     void apply(const std::string& body, time_point now);
 
-    instance_id self_;
+    fleet_member self_;
+    bool leaving_ = false;
     beliefs& known_;
     std::function<load_counts()> take_counts_;
     std::function<time_point()> clock_;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -10,6 +10,8 @@
 using platform_api::object_kind;
 using platform_api::store_outcome;
 
+// Terms are in the upper part of the version of a fact of the coordinator.
+constexpr unsigned term_shift = 32;
 constexpr const char* lease_name = "coordinator";
 // Changes that arrive together are passed on together.
 constexpr milliseconds flush_delay{3};
@@ -64,7 +66,8 @@
               if (duty_)
                   duty_->on_report(counts);
           }),
-      client_(own.instance, known, take_counts_, clock_)
+      client_({own.instance, own.peers, own.processor_share}, known,
+          take_counts_, clock_)
 {
     flush_timer_.setSingleShot(true);
     QObject::connect(&flush_timer_, &QTimer::timeout, [this] {
@@ -231,11 +234,29 @@
         next_counts_ = now + own_counts_interval;
         duty_->on_report(take_counts_());
         known_.set_fleet_size(server_.fleet_size(now));
+        publish_members(now);
     }
     duty_->work(now);
     server_.flush(self_.run, store_age(now), now);
 }
 
+void fleet_role::publish_members(time_point now)
+{
+    std::vector<fleet_member> members = server_.members();
+    members.push_back({own_.instance, own_.peers, own_.processor_share});
+    const std::string text = beliefs::members_text(members);
+    if (text == members_)
+        return;
+    members_ = text;
+    ++published_;
+    known_.learn(
+        {beliefs::members_key,
+            object_version(
+                (lease_.record()->term << term_shift) + published_),
+            text},
+        now);
+}
+
 void fleet_role::follow(time_point now)
 {
     if (duty_) {
@@ -289,6 +310,7 @@
 void fleet_role::leave()
 {
     leaving_ = true;
+    client_.announce_leaving();
     const auto write = lease_.leave();
     if (write)
         write_lease(*write);
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -49,6 +49,7 @@
     void read_lease();
     void take_object(const std::string& body);
     milliseconds store_age(time_point now) const;
+    void publish_members(time_point now);
 
     const route_settings& own_;
     beliefs& known_;
@@ -65,6 +66,8 @@
     bool flush_pending_ = false;
     QTimer flush_timer_;
     time_point next_counts_;
+    std::string members_;
+    std::uint64_t published_ = 0;
     std::optional<time_point> alone_since_;
 };
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -44,7 +44,8 @@
     explicit parts(const route_settings& settings)
         : own(settings),
           known(own),
-          callers(own, known, metrics, present_time),
+          gates(own, known, present_time),
+          callers(own, known, gates, metrics, present_time),
           role(
               own, known, metrics, [this] { return callers.take_counts(); },
               present_time),
@@ -123,6 +124,7 @@
     route_settings own;
     metric_registry metrics;
     beliefs known;
+    gate_service gates;
     caller_service callers;
     fleet_role role;
     http_listener caller_listener;
@@ -151,6 +153,7 @@
     self.readiness_listener.listen(self.own.readiness);
     self.peer_listener.listen(self.own.peers);
     self.operator_listener.listen(self.own.operators);
+    self.gates.start();
     self.ticker.start(tick_interval);
     log_event(log_level::info, "started",
         {{log_key::failure_domain, self.own.domain.value()},
--- /dev/null
+++ b/src/routing/slot_gate.cpp
@@ -0,0 +1,428 @@
+#include <filberthub/routing/slot_gate.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace filberthub {
+namespace {
+
+constexpr double time_weight = 0.1;
+constexpr double initial_service_ms = 50;
+constexpr double pace_memory_ms = 300;
+constexpr double others_memory_ms = 300;
+// One request waits at the server while its slots are busy, so that a slot is
+// not idle for the time of a round trip.
+constexpr unsigned prefetch = 1;
+// Part of the expected work that has to fit before the caller leaves. Work
+// times vary, so a request a little short of time may still be served.
+constexpr double hopeless_part = 0.6;
+// A slot whose instance was lost is used again this long after its request
+// must have ended.
+constexpr milliseconds report_grace{150};
+constexpr milliseconds first_avoidance{250};
+constexpr milliseconds longest_avoidance{2'000};
+constexpr milliseconds least_return{20};
+constexpr milliseconds longest_return{500};
+// The rest of the bound is for sends that did not ask a gate.
+constexpr double used_cold_bound = 0.7;
+constexpr milliseconds cold_window{1'050};
+
+double milliseconds_between(time_point from, time_point to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+milliseconds rounded(double value)
+{
+    return milliseconds(std::llround(value));
+}
+
+// Orders by urgency. Among equals, those that can still be in time come first,
+// and of these the one with the earliest goal.
+bool before(const gate_request_slot& left, const gate_request_slot& right,
+    time_point now, double work_ms)
+{
+    if (left.rank != right.rank)
+        return left.rank < right.rank;
+    const time_point finish =
+        now + std::chrono::duration_cast<duration>(
+                  std::chrono::duration<double, std::milli>(work_ms));
+    const bool left_in_time = finish <= left.goal;
+    const bool right_in_time = finish <= right.goal;
+    if (left_in_time != right_in_time)
+        return left_in_time;
+    return left.goal < right.goal;
+}
+
+} // namespace
+
+std::size_t group_count(std::size_t servers)
+{
+    return std::max<std::size_t>(1, (servers + group_size / 2) / group_size);
+}
+
+std::string group_of_server(
+    const server_entry& server, bool keyed, std::size_t groups)
+{
+    if (keyed)
+        return server.service.value() + "/" + server.id.value();
+    const std::size_t index =
+        groups <= 1 ? 0
+                    : XXH3_64bits(server.id.value().data(),
+                          server.id.value().size()) %
+                          groups;
+    return server.service.value() + "/" + std::to_string(index);
+}
+
+slot_gate::slot_gate(const server_pool& pool, cold_bound bound)
+    : pool_(pool), bound_(bound)
+{}
+
+double slot_gate::usual_ms(
+    const server_state* state, const service_id& service) const
+{
+    if (state != nullptr && state->service_ms > 0)
+        return state->service_ms;
+    const auto found = service_ms_.find(service);
+    return found == service_ms_.end() ? initial_service_ms : found->second;
+}
+
+double slot_gate::expected_ms(
+    const observed_server& server, time_point now) const
+{
+    const auto found = servers_.find(server.entry.id);
+    const server_state* state =
+        found == servers_.end() ? nullptr : &found->second;
+    double time = usual_ms(state, server.entry.service);
+    if (state != nullptr) {
+        const double age = milliseconds_between(state->reported, now);
+        time *= 1 + (state->pace - 1) * std::exp(-age / pace_memory_ms);
+    }
+    return time;
+}
+
+bool slot_gate::cold_turn(const observed_server& server, time_point now) const
+{
+    if (!pool_.cold(server, now))
+        return true;
+    const double allowed =
+        (server.rate_tolerated_cold * bound_.factor + bound_.tolerance) *
+        used_cold_bound;
+    const auto found = servers_.find(server.entry.id);
+    if (found == servers_.end())
+        return allowed >= 1;
+    const auto recent = std::count_if(found->second.cold_sends.begin(),
+        found->second.cold_sends.end(),
+        [now](time_point sent) { return sent > now - cold_window; });
+    return static_cast<double>(recent) + 1 <= allowed;
+}
+
+bool slot_gate::has_slot(const observed_server& server, unsigned extra,
+    time_point now) const
+{
+    if (!cold_turn(server, now))
+        return false;
+    const auto found = servers_.find(server.entry.id);
+    if (found == servers_.end())
+        return true;
+    const server_state& state = found->second;
+    if (now < state.avoid_until)
+        return false;
+    const double age = milliseconds_between(state.reported, now);
+    const double others = state.others * std::exp(-age / others_memory_ms);
+    return state.in_flight + std::floor(others) <
+           static_cast<double>(server.entry.slots + extra);
+}
+
+bool slot_gate::fits(
+    const gate_request_slot& request, const observed_server& server) const
+{
+    return std::find(request.excluded.begin(), request.excluded.end(),
+               server.entry.id) == request.excluded.end();
+}
+
+std::optional<backend_server_id> slot_gate::free_server(
+    const gate_request_slot& request, time_point now) const
+{
+    if (request.owner) {
+        const observed_server* server = pool_.find(*request.owner);
+        if (server == nullptr || !has_slot(*server, prefetch, now))
+            return std::nullopt;
+        return request.owner;
+    }
+    const std::vector<const observed_server*> all =
+        pool_.of_service(request.service);
+    const std::size_t groups = group_count(all.size());
+    for (const unsigned extra : {0U, prefetch}) {
+        const observed_server* best = nullptr;
+        double best_ms = 0;
+        for (const observed_server* server : all) {
+            if (!pool_.usable(*server) || !fits(request, *server) ||
+                group_of_server(server->entry, false, groups) !=
+                    request.group ||
+                !has_slot(*server, extra, now))
+                continue;
+            double time = expected_ms(*server, now);
+            // Behind busy slots it waits for about a part of their work.
+            if (extra > 0)
+                time *= 1 + 0.5 / server->entry.slots;
+            if (server->entry.domain != request.domain)
+                time += static_cast<double>(request.remote_cost.count());
+            if (best == nullptr || time < best_ms) {
+                best = server;
+                best_ms = time;
+            }
+        }
+        if (best != nullptr)
+            return best->entry.id;
+    }
+    return std::nullopt;
+}
+
+gate_decision slot_gate::grant(const gate_request_slot& request,
+    const backend_server_id& server, time_point now)
+{
+    server_state& state = servers_[server];
+    state.service = request.service;
+    ++state.in_flight;
+    const observed_server* known = pool_.find(server);
+    if (known != nullptr && pool_.cold(*known, now)) {
+        state.cold_sends.push_back(now);
+        while (state.cold_sends.front() < now - cold_window)
+            state.cold_sends.pop_front();
+    }
+    running_[request.id] = {server, request.give_up + report_grace, now};
+    return {request.id, gate_verdict::granted, server, milliseconds(0)};
+}
+
+bool slot_gate::hopeless(
+    const gate_request_slot& request, time_point now) const
+{
+    double work = 0;
+    if (request.owner) {
+        const observed_server* server = pool_.find(*request.owner);
+        work = server == nullptr ? 0 : expected_ms(*server, now);
+    } else {
+        const auto found = service_ms_.find(request.service);
+        work = found == service_ms_.end() ? 0 : found->second;
+    }
+    return milliseconds_between(now, request.give_up) < work * hopeless_part;
+}
+
+double slot_gate::expected_wait_ms(
+    const gate_request_slot& request, time_point now) const
+{
+    double rate = 0;
+    double work = initial_service_ms;
+    const auto add = [&](const observed_server& server) {
+        work = expected_ms(server, now);
+        rate += server.entry.slots / std::max(work, 1.0);
+    };
+    if (request.owner) {
+        if (const observed_server* server = pool_.find(*request.owner))
+            add(*server);
+    } else {
+        const auto all = pool_.of_service(request.service);
+        const std::size_t groups = group_count(all.size());
+        for (const observed_server* server : all) {
+            if (pool_.usable(*server) &&
+                group_of_server(server->entry, false, groups) ==
+                    request.group)
+                add(*server);
+        }
+    }
+    if (rate <= 0)
+        return static_cast<double>(longest_return.count());
+    std::size_t ahead = 1;
+    const auto queue = queues_.find(request.group);
+    if (queue != queues_.end()) {
+        ahead += static_cast<std::size_t>(std::count_if(queue->second.begin(),
+            queue->second.end(), [&](const gate_request_slot& other) {
+                return before(other, request, now, work);
+            }));
+    }
+    return static_cast<double>(ahead) / rate;
+}
+
+std::vector<gate_decision> slot_gate::ask(
+    gate_request_slot request, time_point now)
+{
+    std::vector<gate_decision> decisions;
+    if (running_.contains(request.id))
+        return decisions;
+    auto& queue = queues_[request.group];
+    if (std::any_of(queue.begin(), queue.end(),
+            [&](const gate_request_slot& other) {
+                return other.id == request.id;
+            }))
+        return decisions;
+    // Waiting requests had no slot either, unless a server joined.
+    if (const auto server = free_server(request, now)) {
+        decisions.push_back(grant(request, *server, now));
+        return decisions;
+    }
+    const double wait = expected_wait_ms(request, now);
+    gate_request_slot at_turn = request;
+    if (hopeless(at_turn, now + std::chrono::duration_cast<duration>(
+                                   std::chrono::duration<double, std::milli>(
+                                       wait)))) {
+        decisions.push_back({request.id, gate_verdict::refused, {},
+            std::clamp(rounded(wait / 2), least_return, longest_return)});
+        return decisions;
+    }
+    decisions.push_back(
+        {request.id, gate_verdict::queued, {}, rounded(wait)});
+    queue.push_back(std::move(request));
+    return decisions;
+}
+
+void slot_gate::dispatch(const std::string& group, time_point now,
+    std::vector<gate_decision>& decisions)
+{
+    const auto found = queues_.find(group);
+    if (found == queues_.end())
+        return;
+    std::vector<gate_request_slot>& queue = found->second;
+    while (!queue.empty()) {
+        const double work =
+            service_ms_.contains(queue.front().service)
+                ? service_ms_.at(queue.front().service)
+                : initial_service_ms;
+        std::sort(queue.begin(), queue.end(),
+            [&](const gate_request_slot& left, const gate_request_slot& right) {
+                return before(left, right, now, work);
+            });
+        bool granted = false;
+        for (auto at = queue.begin(); at != queue.end(); ++at) {
+            if (hopeless(*at, now)) {
+                decisions.push_back({at->id, gate_verdict::refused, {},
+                    std::clamp(rounded(expected_wait_ms(*at, now) / 2),
+                        least_return, longest_return)});
+                queue.erase(at);
+                granted = true;
+                break;
+            }
+            const auto server = free_server(*at, now);
+            if (!server)
+                continue;
+            decisions.push_back(grant(*at, *server, now));
+            queue.erase(at);
+            granted = true;
+            break;
+        }
+        if (!granted)
+            return;
+    }
+}
+
+std::vector<gate_decision> slot_gate::done(
+    const ticket& id, const gate_result& result, time_point now)
+{
+    std::vector<gate_decision> decisions;
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        for (auto& [group, queue] : queues_) {
+            std::erase_if(queue, [&](const gate_request_slot& other) {
+                return other.id == id;
+            });
+        }
+        return decisions;
+    }
+    const backend_server_id server = found->second.server;
+    running_.erase(found);
+    server_state& state = servers_[server];
+    if (state.in_flight > 0)
+        --state.in_flight;
+    if (result.report) {
+        const double all = result.report->running + result.report->waiting;
+        state.others = std::max(all - state.in_flight, 0.0);
+        state.pace = result.report->pace;
+        state.reported = now;
+    }
+    if (result.outcome == send_outcome::answered) {
+        const double time = static_cast<double>(result.taken.count()) /
+                            std::max(state.pace, 0.1);
+        const bool queued =
+            result.report && result.report->running >= result.report->slots;
+        double& average = service_ms_[state.service];
+        average = average <= 0
+                      ? time
+                      : average + (time - average) * time_weight / 4;
+        if (!queued || state.service_ms <= 0) {
+            state.service_ms =
+                state.service_ms <= 0
+                    ? (time + average) / 2
+                    : state.service_ms +
+                          (time - state.service_ms) * time_weight;
+        }
+        state.failures = 0;
+        state.avoid_until = {};
+    } else if (result.outcome == send_outcome::lost ||
+               result.outcome == send_outcome::unreachable) {
+        const unsigned doublings = std::min(state.failures, 4U);
+        ++state.failures;
+        if (result.outcome == send_outcome::unreachable || state.failures > 2)
+            state.avoid_until = now + std::min(first_avoidance *
+                                                   (1 << doublings),
+                                          longest_avoidance);
+    }
+    for (auto& [group, queue] : queues_) {
+        if (!queue.empty() && queue.front().service == state.service)
+            dispatch(group, now, decisions);
+    }
+    return decisions;
+}
+
+std::vector<gate_decision> slot_gate::sweep(time_point now)
+{
+    std::vector<gate_decision> decisions;
+    for (auto at = running_.begin(); at != running_.end();) {
+        if (now < at->second.until) {
+            ++at;
+            continue;
+        }
+        server_state& state = servers_[at->second.server];
+        if (state.in_flight > 0)
+            --state.in_flight;
+        at = running_.erase(at);
+    }
+    for (auto& [group, queue] : queues_)
+        dispatch(group, now, decisions);
+    std::erase_if(
+        queues_, [](const auto& item) { return item.second.empty(); });
+    std::erase_if(servers_, [this](const auto& item) {
+        return item.second.in_flight == 0 && pool_.find(item.first) == nullptr;
+    });
+    return decisions;
+}
+
+std::optional<double> slot_gate::service_ms(const backend_server_id& id) const
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end() || found->second.service_ms <= 0)
+        return std::nullopt;
+    return found->second.service_ms;
+}
+
+std::vector<std::pair<backend_server_id, double>> slot_gate::service_times()
+    const
+{
+    std::vector<std::pair<backend_server_id, double>> result;
+    for (const auto& [id, state] : servers_) {
+        if (state.service_ms > 0)
+            result.emplace_back(id, state.service_ms);
+    }
+    return result;
+}
+
+std::size_t slot_gate::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto& [group, queue] : queues_)
+        count += queue.size();
+    return count;
+}
+
+} // namespace filberthub
