--- a/include/filberthub/routing/key_planner.hpp
+++ b/include/filberthub/routing/key_planner.hpp
@@ -53,12 +53,12 @@
 {
     // Load relative to capacity, over the mean of all servers, above which keys
     // move.
-    double tolerated_load = 1.3;
+    double tolerated_load = 1.15;
     // Counted requests below which loads are taken for noise.
     double least_requests = 100;
     // A load is moved only if it exceeds the mean by this many requests more
     // than the noise of a count.
-    double noise_factor = 1.5;
+    double noise_factor = 1.0;
 };
 
 // Returns a table in which each key belongs to one of `servers`, and no server
--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -85,8 +85,8 @@
 std::size_t group_count(std::size_t servers);
 
 // Returns the name of the group of a server.
-std::string group_of_server(const server_entry& server, bool keyed,
-    std::size_t groups);
+std::string group_of_server(
+    const server_entry& server, bool keyed, std::size_t groups);
 
 class slot_gate
 {
@@ -138,21 +138,21 @@
     };
 
     double usual_ms(const server_state* state, const service_id& service) const;
-    double expected_ms(
-        const observed_server& server, time_point now) const;
-    bool has_slot(const observed_server& server, unsigned extra,
-        time_point now) const;
+    double expected_ms(const observed_server& server, time_point now) const;
+    bool has_slot(
+        const observed_server& server, unsigned extra, time_point now) const;
     bool cold_turn(const observed_server& server, time_point now) const;
     std::optional<backend_server_id> free_server(
         const gate_request_slot& request, time_point now) const;
-    bool fits(const gate_request_slot& request, const observed_server& server)
-        const;
+    bool fits(
+        const gate_request_slot& request, const observed_server& server) const;
     gate_decision grant(const gate_request_slot& request,
         const backend_server_id& server, time_point now);
     double expected_wait_ms(
         const gate_request_slot& request, time_point now) const;
     void dispatch(const std::string& group, time_point now,
         std::vector<gate_decision>& decisions);
+    double work_ms(const gate_request_slot& request, time_point now) const;
     bool hopeless(const gate_request_slot& request, time_point now) const;
 
     const server_pool& pool_;
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -529,8 +529,8 @@
         known_.servers().on_finished(item->server, send_outcome::cancelled,
             elapsed(item->sent, now), std::nullopt, now);
     }
-    report_to_gate(*item, send_outcome::cancelled, elapsed(item->sent, now),
-        std::nullopt);
+    report_to_gate(
+        *item, send_outcome::cancelled, elapsed(item->sent, now), std::nullopt);
     log_event(
         log_level::debug, "caller left", {{log_key::request_id, item->id}});
     finish(item);
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -49,8 +49,8 @@
     bool ask_gate(const request_ref& item, time_point now);
     void on_gate_answer(const request_ref& item, const gate_answer& answer);
     void send_alone(const request_ref& item, time_point now);
-    void report_to_gate(request& item, send_outcome outcome,
-        milliseconds taken, const std::optional<load_report>& report);
+    void report_to_gate(request& item, send_outcome outcome, milliseconds taken,
+        const std::optional<load_report>& report);
     std::optional<backend_server_id> pick(request& item, time_point now);
     std::optional<backend_server_id> pick_owner(request& item, time_point now);
     void send(const request_ref& item, const backend_server_id& server,
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -79,8 +79,7 @@
         const instance_id sender(document.at("instance").get<std::string>());
         members_[sender] = {
             {sender,
-                endpoint_from_string(
-                    document.at("address").get<std::string>()),
+                endpoint_from_string(document.at("address").get<std::string>()),
                 document.at("processor_share").get<double>()},
             document.at("leaving").get<bool>(), now};
         report_(sender, counts_from(document.at("counts")));
@@ -209,8 +208,8 @@
     request.body = json{{"instance", self_.id.value()},
         {"address", to_string(self_.address)},
         {"processor_share", self_.processor_share}, {"leaving", leaving_},
-        {"run", run_},
-        {"after", after_}, {"counts", counts_json(take_counts_())}}
+        {"run", run_}, {"after", after_},
+        {"counts", counts_json(take_counts_())}}
                        .dump();
     client_->send(std::move(request), hold_ + answer_slack,
         [this](http_result result) { on_answer(std::move(result)); });
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -251,8 +251,7 @@
     ++published_;
     known_.learn(
         {beliefs::members_key,
-            object_version(
-                (lease_.record()->term << term_shift) + published_),
+            object_version((lease_.record()->term << term_shift) + published_),
             text},
         now);
 }
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -76,8 +76,8 @@
     return best;
 }
 
-std::optional<std::uint64_t> gate_service::ask(gate_request_slot request,
-    std::size_t servers_of_service, callback answer)
+std::optional<std::uint64_t> gate_service::ask(
+    gate_request_slot request, std::size_t servers_of_service, callback answer)
 {
     const time_point now = clock_();
     if (request.owner) {
@@ -88,8 +88,7 @@
     } else {
         const std::size_t groups = group_count(servers_of_service);
         const std::size_t index = last_number_ % groups;
-        request.group =
-            request.service.value() + "/" + std::to_string(index);
+        request.group = request.service.value() + "/" + std::to_string(index);
     }
     const fleet_member* host = host_of(request.group);
     if (host == nullptr)
@@ -123,8 +122,8 @@
     pending_.erase(found);
     const load_report report = result.report.value_or(load_report{0, 0, 0, 1});
     send({done_message, number, static_cast<int>(result.outcome),
-             result.taken.count(), report.running, report.waiting,
-             report.slots, report.pace},
+             result.taken.count(), report.running, report.waiting, report.slots,
+             report.pace},
         host);
 }
 
@@ -132,8 +131,8 @@
 {
     if (target == own_.peers) {
         // The answer must not arrive before the caller has its number.
-        QTimer::singleShot(0, this,
-            [this, message, target] { on_message(message, target); });
+        QTimer::singleShot(
+            0, this, [this, message, target] { on_message(message, target); });
         return;
     }
     const std::vector<std::uint8_t> bytes = json::to_cbor(message);
@@ -219,11 +218,10 @@
     const auto slots = message.at(6).get<unsigned>();
     if (slots > 0) {
         result.report = load_report{message.at(4).get<unsigned>(),
-            message.at(5).get<unsigned>(), slots,
-            message.at(7).get<double>()};
+            message.at(5).get<unsigned>(), slots, message.at(7).get<double>()};
     }
-    tell(gate_.done({instance_id(to_string(sender)),
-                        message.at(1).get<std::uint64_t>()},
+    tell(gate_.done(
+        {instance_id(to_string(sender)), message.at(1).get<std::uint64_t>()},
         result, now));
 }
 
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -84,13 +84,18 @@
             return std::nullopt;
         next.renewal = record_->renewal + 1;
     } else {
-        const bool vacant = !record_ || record_->holder.empty();
-        const milliseconds wait =
-            vacant ? options_.spread : options_.takeover + options_.spread;
+        // A process that finds its own name was the holder before it started
+        // again, and nobody else acts for that holder.
+        const bool own_name = record_ && record_->holder == self_.holder;
+        const bool vacant = !record_ || record_->holder.empty() || own_name;
+        const milliseconds wait = own_name ? milliseconds(0)
+                                  : vacant
+                                      ? options_.spread
+                                      : options_.takeover + options_.spread;
         if (now < heard_ + wait)
             return std::nullopt;
         next.term = record_ ? record_->term + 1 : 1;
-        predecessor_left_ = record_ && record_->holder.empty();
+        predecessor_left_ = own_name || (record_ && record_->holder.empty());
     }
     write_open_ = true;
     written_ = next;
--- a/src/routing/key_planner.cpp
+++ b/src/routing/key_planner.cpp
@@ -36,6 +36,7 @@
     std::optional<key_table> result()
     {
         place_unowned();
+        fill_empty_servers();
         balance();
         merge_neighbours();
         return build();
@@ -169,6 +170,23 @@
         }
     }
 
+    // Gives keys to servers that have none, also without any load.
+    void fill_empty_servers()
+    {
+        for (std::size_t at = 0; at < servers_.size(); ++at) {
+            if (!servers_[at].may_gain || load_[at] > 0)
+                continue;
+            std::size_t from = unowned;
+            for (std::size_t other = 0; other < servers_.size(); ++other) {
+                if (from == unowned ||
+                    load_[other] / target(other) > load_[from] / target(from))
+                    from = other;
+            }
+            move_load(
+                from, at, std::min(target(at), load_[from] - target(from) / 2));
+        }
+    }
+
     // Returns the server with most load over its part, or `unowned`.
     std::size_t busiest() const
     {
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -17,7 +17,10 @@
 constexpr unsigned prefetch = 1;
 // Part of the expected work that has to fit before the caller leaves. Work
 // times vary, so a request a little short of time may still be served.
-constexpr double hopeless_part = 0.6;
+constexpr double hopeless_part = 0.8;
+// Requests that can still be in time overtake one that cannot, so that it waits
+// longer than those ahead of it now take.
+constexpr double overtaken_factor = 2;
 // A slot whose instance was lost is used again this long after its request
 // must have ended.
 constexpr milliseconds report_grace{150};
@@ -69,10 +72,10 @@
     if (keyed)
         return server.service.value() + "/" + server.id.value();
     const std::size_t index =
-        groups <= 1 ? 0
-                    : XXH3_64bits(server.id.value().data(),
-                          server.id.value().size()) %
-                          groups;
+        groups <= 1
+            ? 0
+            : XXH3_64bits(server.id.value().data(), server.id.value().size()) %
+                  groups;
     return server.service.value() + "/" + std::to_string(index);
 }
 
@@ -119,8 +122,8 @@
     return static_cast<double>(recent) + 1 <= allowed;
 }
 
-bool slot_gate::has_slot(const observed_server& server, unsigned extra,
-    time_point now) const
+bool slot_gate::has_slot(
+    const observed_server& server, unsigned extra, time_point now) const
 {
     if (!cold_turn(server, now))
         return false;
@@ -197,18 +200,21 @@
     return {request.id, gate_verdict::granted, server, milliseconds(0)};
 }
 
-bool slot_gate::hopeless(
+double slot_gate::work_ms(
     const gate_request_slot& request, time_point now) const
 {
-    double work = 0;
     if (request.owner) {
         const observed_server* server = pool_.find(*request.owner);
-        work = server == nullptr ? 0 : expected_ms(*server, now);
-    } else {
-        const auto found = service_ms_.find(request.service);
-        work = found == service_ms_.end() ? 0 : found->second;
+        return server == nullptr ? 0 : expected_ms(*server, now);
     }
-    return milliseconds_between(now, request.give_up) < work * hopeless_part;
+    const auto found = service_ms_.find(request.service);
+    return found == service_ms_.end() ? 0 : found->second;
+}
+
+bool slot_gate::hopeless(const gate_request_slot& request, time_point now) const
+{
+    return milliseconds_between(now, request.give_up) <
+           work_ms(request, now) * hopeless_part;
 }
 
 double slot_gate::expected_wait_ms(
@@ -228,8 +234,7 @@
         const std::size_t groups = group_count(all.size());
         for (const observed_server* server : all) {
             if (pool_.usable(*server) &&
-                group_of_server(server->entry, false, groups) ==
-                    request.group)
+                group_of_server(server->entry, false, groups) == request.group)
                 add(*server);
         }
     }
@@ -253,8 +258,8 @@
     if (running_.contains(request.id))
         return decisions;
     auto& queue = queues_[request.group];
-    if (std::any_of(queue.begin(), queue.end(),
-            [&](const gate_request_slot& other) {
+    if (std::any_of(
+            queue.begin(), queue.end(), [&](const gate_request_slot& other) {
                 return other.id == request.id;
             }))
         return decisions;
@@ -264,16 +269,16 @@
         return decisions;
     }
     const double wait = expected_wait_ms(request, now);
-    gate_request_slot at_turn = request;
-    if (hopeless(at_turn, now + std::chrono::duration_cast<duration>(
-                                   std::chrono::duration<double, std::milli>(
-                                       wait)))) {
+    const bool in_time =
+        milliseconds_between(now, request.goal) > wait + work_ms(request, now);
+    const double likely_wait = in_time ? wait : wait * overtaken_factor;
+    if (milliseconds_between(now, request.give_up) <
+        likely_wait + work_ms(request, now) * hopeless_part) {
         decisions.push_back({request.id, gate_verdict::refused, {},
             std::clamp(rounded(wait / 2), least_return, longest_return)});
         return decisions;
     }
-    decisions.push_back(
-        {request.id, gate_verdict::queued, {}, rounded(wait)});
+    decisions.push_back({request.id, gate_verdict::queued, {}, rounded(wait)});
     queue.push_back(std::move(request));
     return decisions;
 }
@@ -286,10 +291,9 @@
         return;
     std::vector<gate_request_slot>& queue = found->second;
     while (!queue.empty()) {
-        const double work =
-            service_ms_.contains(queue.front().service)
-                ? service_ms_.at(queue.front().service)
-                : initial_service_ms;
+        const double work = service_ms_.contains(queue.front().service)
+                                ? service_ms_.at(queue.front().service)
+                                : initial_service_ms;
         std::sort(queue.begin(), queue.end(),
             [&](const gate_request_slot& left, const gate_request_slot& right) {
                 return before(left, right, now, work);
@@ -324,9 +328,8 @@
     const auto found = running_.find(id);
     if (found == running_.end()) {
         for (auto& [group, queue] : queues_) {
-            std::erase_if(queue, [&](const gate_request_slot& other) {
-                return other.id == id;
-            });
+            std::erase_if(queue,
+                [&](const gate_request_slot& other) { return other.id == id; });
         }
         return decisions;
     }
@@ -347,9 +350,8 @@
         const bool queued =
             result.report && result.report->running >= result.report->slots;
         double& average = service_ms_[state.service];
-        average = average <= 0
-                      ? time
-                      : average + (time - average) * time_weight / 4;
+        average =
+            average <= 0 ? time : average + (time - average) * time_weight / 4;
         if (!queued || state.service_ms <= 0) {
             state.service_ms =
                 state.service_ms <= 0
@@ -364,9 +366,9 @@
         const unsigned doublings = std::min(state.failures, 4U);
         ++state.failures;
         if (result.outcome == send_outcome::unreachable || state.failures > 2)
-            state.avoid_until = now + std::min(first_avoidance *
-                                                   (1 << doublings),
-                                          longest_avoidance);
+            state.avoid_until =
+                now +
+                std::min(first_avoidance * (1 << doublings), longest_avoidance);
     }
     for (auto& [group, queue] : queues_) {
         if (!queue.empty() && queue.front().service == state.service)
@@ -406,8 +408,8 @@
     return found->second.service_ms;
 }
 
-std::vector<std::pair<backend_server_id, double>> slot_gate::service_times()
-    const
+std::vector<std::pair<backend_server_id, double>>
+slot_gate::service_times() const
 {
     std::vector<std::pair<backend_server_id, double>> result;
     for (const auto& [id, state] : servers_) {
