--- /dev/null
+++ b/test/platform_adapter/adapter_test.cpp
@@ -0,0 +1,189 @@
+#include <platform/dialect.hpp>
+#include <platform/grant_api.hpp>
+#include <platform/object_codec.hpp>
+#include <platform/store_api.hpp>
+
+#include <gmock/gmock.h>
+
+#include <filberthub/base/error.hpp>
+
+namespace filberthub::platform_api {
+namespace {
+
+using testing::HasSubstr;
+
+constexpr const char* config_text = R"({"Version":"0000001f","Routes":[
+  {"Name":"r-1","Hostname":"h.example","PathPrefix":"/a/","RouteType":"unsafe",
+   "TimeoutMs":600,"TargetLatencyMs":250,"Priority":1,"Service":"w",
+   "MaxAttempts":2},
+  {"Name":"r-2","Hostname":"h.example","PathPrefix":"/b/","RouteType":"safe",
+   "TimeoutMs":500.0,"TargetLatencyMs":200,"Priority":2,"MaxAttempts":3,
+   "TrafficSplit":[{"Service":"x","Weight":90},{"Service":"y","Weight":10}]}],
+ "Services":[{"Name":"x","HealthPath":"/healthz","MaxConnections":257,
+   "WarmupS":3.0,"WarmupPerS":11.0,"Sharded":true,"WarmS":5.0,"New":1}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
+   "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
+
+TEST(a_configuration, IsDecodedIntoRoutesAndServices)
+{
+    const routing_config config = decode_config(config_text);
+    EXPECT_EQ(config.version.value(), 31U);
+    ASSERT_EQ(config.routes.size(), 2U);
+    EXPECT_FALSE(config.routes[0].repeatable);
+    EXPECT_EQ(config.routes[0].answer_timeout, milliseconds(600));
+    EXPECT_TRUE(config.routes[1].repeatable);
+    ASSERT_EQ(config.routes[1].shares.size(), 2U);
+    EXPECT_EQ(config.routes[1].shares[1].weight, 10);
+    const service_rule& rule = config.services.at(service_id("x"));
+    EXPECT_TRUE(rule.keyed);
+    EXPECT_EQ(rule.cold_time, milliseconds(3'000));
+    EXPECT_EQ(config.limits.idle_timeout, milliseconds(15'000));
+}
+
+TEST(a_configuration, ThatIsMalformedIsReportedWithItsField)
+{
+    try {
+        decode_config(R"({"Version":"0000zz"})");
+        FAIL() << "expected an error";
+    } catch (const error& failure) {
+        EXPECT_THAT(failure.what(), HasSubstr("Version"));
+    }
+    EXPECT_THROW(decode_config("[]"), error);
+    EXPECT_THROW(decode_config("{"), error);
+}
+
+TEST(a_server_entry, IsDecoded)
+{
+    const server_entry entry = decode_server("i-1",
+        R"({"Service":"x","Address":"10.0.0.9:8080","Zone":"a","Version":"v1",
+            "Capacity":2,"State":"draining","WarmupLeftMs":1500,"Sequence":4,
+            "born":1769435630198})");
+    EXPECT_EQ(entry.id.value(), "i-1");
+    EXPECT_TRUE(entry.draining);
+    EXPECT_EQ(entry.cold_left, milliseconds(1'500));
+    EXPECT_EQ(entry.started, 1769435630198U);
+    EXPECT_EQ(entry.address, (endpoint{"10.0.0.9", 8080}));
+}
+
+// Guards against a crash or a wrong server by an entry of another writer.
+TEST(a_server_entry, OfAnotherShapeIsRefused)
+{
+    for (const char* text :
+        {"", "null", "7", "[]", "{}", "\xff\xfe",
+            R"({"Service":"x","Address":"10.0.0.9:8080","Zone":"a"})",
+            R"({"Service":"x","Address":"10.0.0.9","Zone":"a","Capacity":2,
+                "State":"ready"})",
+            R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":"2",
+                "State":"ready"})",
+            R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":2,
+                "State":"resting"})",
+            R"({"Service":5,"Address":"10.0.0.9:80","Zone":"a","Capacity":2,
+                "State":"ready"})"})
+        EXPECT_THROW(decode_server("i-1", text), error) << text;
+}
+
+TEST(a_list, GivesFactsAndTheNextPage)
+{
+    const store_page page = decode_list(object_kind::server,
+        R"({"items":[{"Metadata":{"Name":"i-1","Revision":7},"Spec":{"a":1}}],
+            "HasMore":true,"StoreRevision":530})");
+    ASSERT_EQ(page.facts.size(), 1U);
+    EXPECT_EQ(page.facts[0].key, "server/i-1");
+    EXPECT_EQ(store_revision_of(page.facts[0].version), 7U);
+    EXPECT_EQ(page.next, "i-1");
+    EXPECT_EQ(page.store_revision, 530U);
+}
+
+// Guards against a server that is registered again right after its removal and
+// stays removed.
+TEST(events, OrderARemovalBeforeALaterCreation)
+{
+    const store_page page = decode_events(object_kind::server,
+        R"({"events":[
+            {"Deleted":true,"Object":{"Metadata":{"Name":"i-1","Revision":7}}},
+            {"Deleted":false,"Object":{"Metadata":{"Name":"i-1","Revision":8},
+             "Spec":{}}}],"StoreRevision":9})");
+    ASSERT_EQ(page.facts.size(), 2U);
+    EXPECT_FALSE(page.facts[0].value.has_value());
+    EXPECT_LT(page.facts[0].version, page.facts[1].version);
+}
+
+TEST(a_store_reply, ThatIsMalformedIsAnError)
+{
+    for (const char* text : {"", "{}", "[]", R"({"items":[{}]})",
+             R"({"items":7,"StoreRevision":1})"})
+        EXPECT_THROW(decode_list(object_kind::server, text), error) << text;
+}
+
+TEST(a_conditional_write, NamesTheRevision)
+{
+    const http_request request =
+        replace_call(object_kind::key_ownership, "x", 412, R"({"a":1})");
+    EXPECT_EQ(request.method, "PUT");
+    EXPECT_THAT(request.body, HasSubstr("\"Revision\":412"));
+    EXPECT_THAT(request.body, HasSubstr("\"Spec\":{\"a\":1}"));
+}
+
+TEST(a_load_report, IsReadFromItsHeader)
+{
+    http_headers headers;
+    headers.set("X-Filberthub-Server-Load", "3,1,8,250");
+    const auto report = decode_load(headers);
+    ASSERT_TRUE(report.has_value());
+    EXPECT_EQ(report->running, 3U);
+    EXPECT_EQ(report->waiting, 1U);
+    EXPECT_EQ(report->slots, 8U);
+    EXPECT_DOUBLE_EQ(report->pace, 2.5);
+    for (const char* text : {"", "3", "3,1", "a,b,c", "-1,0,2", "1,2,3,"}) {
+        headers.set("X-Filberthub-Server-Load", text);
+        EXPECT_FALSE(decode_load(headers).has_value()) << text;
+    }
+}
+
+TEST(an_answer, SaysNotRunByItsFieldOrAsMisdirected)
+{
+    http_response response;
+    response.status = 503;
+    EXPECT_FALSE(says_not_run(response));
+    response.headers.set("X-Filberthub-Not-Executed", "1");
+    EXPECT_TRUE(says_not_run(response));
+    http_response misdirected;
+    misdirected.status = 421;
+    EXPECT_TRUE(says_not_run(misdirected));
+}
+
+TEST(a_key, IsANumberInItsRange)
+{
+    http_headers headers;
+    EXPECT_FALSE(decode_key(headers).has_value());
+    headers.set(header::key, "65535");
+    EXPECT_EQ(decode_key(headers), 65'535U);
+    for (const char* text : {"65536", "-1", "x", ""}) {
+        headers.set(header::key, text);
+        EXPECT_FALSE(decode_key(headers).has_value()) << text;
+    }
+}
+
+TEST(bounds, AreReadByName)
+{
+    const operator_bounds bounds = decode_bounds(json::parse(
+        R"({"DrainMs":2500,"GraceS":6,"RetryAllowance":275,"New":"x"})"));
+    EXPECT_EQ(bounds.drain, milliseconds(2'500));
+    EXPECT_EQ(bounds.stop_grace, milliseconds(6'000));
+    EXPECT_EQ(bounds.retry_allowance, 275);
+    EXPECT_THROW(decode_bounds(json::parse(R"({"DrainMs":"x"})")), error);
+}
+
+TEST(a_grant, CarriesItsHandover)
+{
+    const http_request request = grant_call(
+        {4'096, 8'191, fencing_token(12)}, milliseconds(4'000), "5c0e");
+    const json body = json::parse(request.body);
+    EXPECT_EQ(body, json::parse(R"({"From":4096,"To":8191,"fence":12,
+        "HoldMs":4000,"Handover":"5c0e"})"));
+    EXPECT_FALSE(json::parse(release_call({0, 1, fencing_token(3)}).body)
+                     .contains("Handover"));
+}
+
+} // namespace
+} // namespace filberthub::platform_api
--- /dev/null
+++ b/test/routing/coordinator_lease_test.cpp
@@ -0,0 +1,119 @@
+#include "routing/routing_builders.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filberthub/routing/coordinator_lease.hpp>
+
+namespace filberthub {
+namespace {
+
+lease_record record_of(const std::string& holder, std::uint64_t run)
+{
+    lease_record record;
+    record.holder = instance_id(holder);
+    record.address = {"10.0.0.1", 7'000};
+    record.run = run;
+    return record;
+}
+
+coordinator_lease lease_of(const std::string& holder, std::uint64_t run)
+{
+    return coordinator_lease(record_of(holder, run), lease_options{});
+}
+
+TEST(a_lease, IsTakenWhenThereIsNone)
+{
+    coordinator_lease lease = lease_of("a", 1);
+    EXPECT_FALSE(lease.due(at_ms(0)).has_value());
+    lease.on_read(std::nullopt, 0, at_ms(0));
+    const auto write = lease.due(at_ms(0));
+    ASSERT_TRUE(write.has_value());
+    EXPECT_EQ(write->base_revision, 0U);
+    lease.on_written(4, at_ms(5));
+    EXPECT_TRUE(lease.holds(at_ms(5)));
+}
+
+TEST(a_lease, EndsWithoutAConfirmedRenewal)
+{
+    coordinator_lease lease = lease_of("a", 1);
+    lease.on_read(std::nullopt, 0, at_ms(0));
+    lease.due(at_ms(0));
+    lease.on_written(4, at_ms(300));
+    EXPECT_TRUE(lease.holds(at_ms(7'999)));
+    // Counted from the sending of the write, not from its answer.
+    EXPECT_FALSE(lease.holds(at_ms(8'000)));
+}
+
+TEST(a_lease, IsLeftAloneWhileItsHolderIsHeard)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease.on_read(record_of("a", 1), 4, at_ms(0));
+    lease.on_coordinator_heard(at_ms(1'000));
+    EXPECT_FALSE(lease.due(at_ms(2'600)).has_value());
+    ASSERT_TRUE(lease.due(at_ms(2'800)).has_value());
+}
+
+// Guards against a takeover by an instance that is cut from the holder while
+// the holder renews its lease.
+TEST(a_lease, IsLeftAloneWhileItIsRenewed)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease_record other = record_of("a", 1);
+    for (std::uint64_t second = 0; second < 10; ++second) {
+        other.renewal = second;
+        const auto ms = static_cast<std::int64_t>(second * 1'000);
+        lease.on_read(other, 4 + second, at_ms(ms));
+        EXPECT_FALSE(lease.due(at_ms(ms + 900)).has_value());
+    }
+}
+
+// Guards against a write whose answer was lost: it is recognised when read.
+TEST(a_lease, RecognisesAWriteWhoseAnswerWasLost)
+{
+    coordinator_lease lease = lease_of("a", 1);
+    lease.on_read(std::nullopt, 0, at_ms(0));
+    const auto write = lease.due(at_ms(0));
+    lease.on_write_failed(at_ms(900));
+    EXPECT_TRUE(lease.needs_read());
+    EXPECT_FALSE(lease.due(at_ms(1'000)).has_value());
+    lease.on_read(write->record, 4, at_ms(1'100));
+    EXPECT_TRUE(lease.holds(at_ms(1'100)));
+    EXPECT_FALSE(lease.holds(at_ms(8'000)));
+}
+
+TEST(a_lease, IsLostToAnotherHolder)
+{
+    coordinator_lease lease = lease_of("a", 1);
+    lease.on_read(std::nullopt, 0, at_ms(0));
+    lease.due(at_ms(0));
+    lease.on_written(4, at_ms(5));
+    lease.on_read(record_of("b", 2), 5, at_ms(100));
+    EXPECT_FALSE(lease.holds(at_ms(100)));
+}
+
+TEST(a_lease, OfAnEarlierRunOfTheProcessIsTakenAtOnce)
+{
+    coordinator_lease lease = lease_of("a", 2);
+    lease.on_read(record_of("a", 1), 4, at_ms(0));
+    EXPECT_TRUE(lease.due(at_ms(0)).has_value());
+    EXPECT_TRUE(lease.predecessor_left());
+}
+
+TEST(a_lease, IgnoresAnOlderCopy)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease.on_read(record_of("c", 3), 9, at_ms(0));
+    lease.on_read(record_of("a", 1), 4, at_ms(10));
+    EXPECT_EQ(lease.record()->holder.value(), "c");
+}
+
+TEST(a_lease_record, ReadsWhatItWrote)
+{
+    lease_record record = record_of("a", 17);
+    record.term = 3;
+    record.renewal = 5;
+    EXPECT_EQ(lease_record::from_text(record.text()), record);
+}
+
+} // namespace
+} // namespace filberthub
--- /dev/null
+++ b/test/routing/key_granter_test.cpp
@@ -0,0 +1,268 @@
+#include "routing/routing_builders.hpp"
+
+#include <gmock/gmock.h>
+#include <rapidcheck/gtest.h>
+
+#include <filberthub/routing/key_coordinator.hpp>
+
+#include <algorithm>
+
+namespace filberthub {
+namespace {
+
+using testing::IsEmpty;
+using testing::SizeIs;
+
+key_table table_of(std::vector<key_range> ranges)
+{
+    key_table table;
+    table.ranges = std::move(ranges);
+    table.next_token = fencing_token(100);
+    return table;
+}
+
+// Moves all keys from a to b.
+key_table moved_table()
+{
+    key_range range = range_of(0, key_count - 1, "b", 2);
+    range.previous.push_back({{backend_server_id("a"), 1}, fencing_token(1)});
+    return table_of({range});
+}
+
+class a_granter : public testing::Test
+{
+protected:
+    a_granter()
+    {
+        granter_.adopt(
+            table_of({range_of(0, key_count - 1, "a", 1)}), at_ms(0));
+    }
+
+    grant_order only_order(std::int64_t ms)
+    {
+        const auto orders = granter_.due(at_ms(ms));
+        EXPECT_THAT(orders, SizeIs(1));
+        return orders.at(0);
+    }
+
+    void grant_first()
+    {
+        const grant_order order = only_order(0);
+        granter_.on_reply(order.number, grant_reply::accepted, "", at_ms(2));
+    }
+
+    key_granter granter_{key_granter_options{}};
+};
+
+TEST_F(a_granter, RenewsAGrantBeforeItEnds)
+{
+    grant_first();
+    EXPECT_THAT(granter_.due(at_ms(500)), IsEmpty());
+    EXPECT_FALSE(only_order(1'000).release);
+}
+
+// Guards against two owners: the new one must not get keys that the old one
+// has not released.
+TEST_F(a_granter, GrantsAMovedKeyOnlyAfterItsRelease)
+{
+    grant_first();
+    granter_.adopt(moved_table(), at_ms(10));
+    const grant_order release = only_order(10);
+    EXPECT_TRUE(release.release);
+    EXPECT_EQ(release.server.id.value(), "a");
+    EXPECT_THAT(granter_.due(at_ms(60)), IsEmpty());
+
+    granter_.on_reply(release.number, grant_reply::accepted, "h1", at_ms(80));
+    const grant_order grant = only_order(80);
+    EXPECT_FALSE(grant.release);
+    EXPECT_EQ(grant.server.id.value(), "b");
+    EXPECT_EQ(grant.handover, "h1");
+}
+
+// Guards against a grant that was not answered and comes into force after the
+// release: it may last for its whole time.
+TEST_F(a_granter, WaitsOutAnUnansweredGrantAfterARelease)
+{
+    const grant_order lost = only_order(0);
+    granter_.on_reply(lost.number, grant_reply::unclear, "", at_ms(400));
+    granter_.adopt(moved_table(), at_ms(410));
+    const grant_order release = only_order(410);
+    granter_.on_reply(release.number, grant_reply::accepted, "", at_ms(420));
+    EXPECT_THAT(granter_.due(at_ms(3'900)), IsEmpty());
+    // 4,000 ms, 2% of drift and the travel time after the order was sent.
+    EXPECT_FALSE(only_order(4'240).release);
+}
+
+TEST_F(a_granter, WaitsForARenewalOnItsWayBeforeTheRelease)
+{
+    grant_first();
+    const grant_order renewal = only_order(1'000);
+    granter_.adopt(moved_table(), at_ms(1'001));
+    EXPECT_THAT(granter_.due(at_ms(1'001)), IsEmpty());
+    granter_.on_reply(renewal.number, grant_reply::accepted, "", at_ms(1'003));
+    EXPECT_TRUE(only_order(1'003).release);
+}
+
+TEST_F(a_granter, MovesKeysOfASilentServerWhenItsHoldHasEnded)
+{
+    grant_first();
+    granter_.adopt(moved_table(), at_ms(10));
+    for (std::int64_t ms = 10; ms < 4'200; ms += 100) {
+        for (const grant_order& order : granter_.due(at_ms(ms))) {
+            EXPECT_TRUE(order.release) << "at " << ms << " ms";
+            granter_.on_reply(
+                order.number, grant_reply::unclear, "", at_ms(ms + 50));
+        }
+    }
+    bool granted = false;
+    for (const grant_order& order : granter_.due(at_ms(4'300)))
+        granted = granted || !order.release;
+    EXPECT_TRUE(granted);
+}
+
+TEST_F(a_granter, GrantsAtOnceWhenTheOldLifeHasEnded)
+{
+    grant_first();
+    granter_.adopt(moved_table(), at_ms(10));
+    granter_.on_life_ended({backend_server_id("a"), 1});
+    EXPECT_FALSE(only_order(10).release);
+}
+
+// Guards against an old coordinator whose grants a new one does not know.
+TEST(a_new_coordinator, WaitsForTheHoldsOfTheOldOne)
+{
+    key_granter granter{key_granter_options{}};
+    granter.take_over(moved_table(), at_ms(12'000), at_ms(0));
+    const auto release = granter.due(at_ms(0));
+    ASSERT_THAT(release, SizeIs(1));
+    EXPECT_TRUE(release[0].release);
+    granter.on_reply(release[0].number, grant_reply::accepted, "", at_ms(5));
+    EXPECT_THAT(granter.due(at_ms(11'900)), IsEmpty());
+    EXPECT_THAT(granter.due(at_ms(12'000)), SizeIs(1));
+}
+
+TEST(a_new_coordinator, GivesEveryRangeAHigherTokenFirst)
+{
+    key_coordinator keys{key_granter_options{}, key_plan_options{}};
+    keys.begin(
+        table_of({range_of(0, key_count - 1, "a", 7)}), 5, at_ms(0), at_ms(0));
+    const auto write =
+        keys.plan({{{backend_server_id("a"), 1}, 1, true}}, at_ms(0));
+    ASSERT_TRUE(write.has_value());
+    EXPECT_EQ(write->base_revision, 5U);
+    EXPECT_THAT(keys.grants().due(at_ms(0)), IsEmpty());
+    keys.on_written(6, at_ms(5));
+    const auto orders = keys.grants().due(at_ms(5));
+    ASSERT_THAT(orders, SizeIs(1));
+    EXPECT_EQ(orders[0].token.value(), 100U);
+}
+
+// A model of the servers: each applies orders as the platform's page says, late
+// ones too. No key may ever be held by two of them.
+struct model_server
+{
+    std::vector<std::uint64_t> highest = std::vector<std::uint64_t>(8, 0);
+    std::vector<time_point> held_until = std::vector<time_point>(8);
+
+    bool grant(const grant_order& order, time_point arrival, time_point now)
+    {
+        for (key_number key = order.first / 8'192; key <= order.last / 8'192;
+             ++key) {
+            if (highest[key] > order.token.value())
+                return false;
+        }
+        // The clock of the server runs 2% slow.
+        const auto hold =
+            std::chrono::duration_cast<duration>(order.hold * 1.02);
+        for (key_number key = order.first / 8'192; key <= order.last / 8'192;
+             ++key) {
+            highest[key] = order.token.value();
+            if (arrival + hold > now)
+                held_until[key] = arrival + hold;
+        }
+        return true;
+    }
+
+    void release(const grant_order& order)
+    {
+        for (key_number key = order.first / 8'192; key <= order.last / 8'192;
+             ++key)
+            held_until[key] = {};
+    }
+};
+
+RC_GTEST_PROP(a_granter_property, NeverLetsTwoServersHoldAKey, ())
+{
+    key_granter granter{key_granter_options{}};
+    std::map<backend_server_id, model_server> servers;
+    struct late_order
+    {
+        grant_order order;
+        time_point arrival;
+        time_point applied;
+    };
+    std::vector<late_order> late;
+    key_table table = table_of({});
+    std::vector<int> owner(8, 0);
+    std::uint64_t token = 1;
+    for (key_number part = 0; part < 8; ++part) {
+        key_range range =
+            range_of(part * 8'192, part * 8'192 + 8'191, "s0", token++);
+        table.ranges.push_back(range);
+    }
+    granter.adopt(table, at_ms(0));
+    const int steps = *rc::gen::inRange(20, 120);
+    std::int64_t now_ms = 0;
+    for (int step = 0; step < steps; ++step) {
+        now_ms += *rc::gen::inRange(1, 900);
+        const time_point now = at_ms(now_ms);
+        std::erase_if(late, [&](const late_order& item) {
+            if (item.applied > now)
+                return false;
+            if (item.order.release)
+                servers[item.order.server.id].release(item.order);
+            else
+                servers[item.order.server.id].grant(
+                    item.order, item.arrival, now);
+            return true;
+        });
+        if (*rc::gen::inRange(0, 4) == 0) {
+            const auto part = static_cast<std::size_t>(*rc::gen::inRange(0, 8));
+            key_range& range = table.ranges[part];
+            if (range.previous.empty() || granter.is_granted(range.token)) {
+                range.previous = {{range.owner, range.token}};
+                range.owner.id = backend_server_id(
+                    "s" + std::to_string(*rc::gen::inRange(0, 3)));
+                range.token = fencing_token(token++);
+                if (range.owner == range.previous[0].server)
+                    range.previous.clear();
+                granter.adopt(table, now);
+            }
+        }
+        for (const grant_order& order : granter.due(now)) {
+            const int fate = *rc::gen::inRange(0, 5);
+            if (fate == 0) {
+                // No answer; carried out up to 12 s later.
+                late.push_back({order, now,
+                    now + milliseconds(*rc::gen::inRange(0, 12'000))});
+                granter.on_reply(order.number, grant_reply::unclear, "", now);
+                continue;
+            }
+            model_server& server = servers[order.server.id];
+            if (order.release)
+                server.release(order);
+            const bool good = order.release || server.grant(order, now, now);
+            granter.on_reply(order.number,
+                good ? grant_reply::accepted : grant_reply::outdated, "", now);
+        }
+        for (std::size_t part = 0; part < 8; ++part) {
+            int holders = 0;
+            for (const auto& [id, server] : servers)
+                holders += server.held_until[part] > now ? 1 : 0;
+            RC_ASSERT(holders <= 1);
+        }
+    }
+}
+
+} // namespace
+} // namespace filberthub
--- /dev/null
+++ b/test/routing/key_planner_test.cpp
@@ -0,0 +1,158 @@
+#include "routing/routing_builders.hpp"
+
+#include <gmock/gmock.h>
+
+#include <filberthub/routing/key_planner.hpp>
+
+#include <set>
+
+namespace filberthub {
+namespace {
+
+std::vector<key_server> servers(std::initializer_list<const char*> names)
+{
+    std::vector<key_server> result;
+    for (const char* name : names)
+        result.push_back({{backend_server_id(name), 1}, 1, true});
+    return result;
+}
+
+std::map<std::string, double> shares(
+    const key_table& table, const key_weights& weights)
+{
+    std::map<std::string, double> result;
+    for (const key_range& range : table.ranges) {
+        for (key_number key = range.first; key <= range.last; ++key)
+            result[range.owner.id.value()] += weights.of(key) / weights.total();
+    }
+    return result;
+}
+
+void expect_complete(const key_table& table)
+{
+    key_number next = 0;
+    std::set<fencing_token> tokens;
+    for (const key_range& range : table.ranges) {
+        EXPECT_EQ(range.first, next);
+        next = range.last + 1;
+        EXPECT_TRUE(tokens.insert(range.token).second)
+            << "token " << range.token << " is used twice";
+        EXPECT_LT(range.token, table.next_token);
+    }
+    EXPECT_EQ(next, key_count);
+}
+
+TEST(a_key_plan, SpreadsAllKeysAtTheStart)
+{
+    key_weights weights;
+    const auto table =
+        plan_keys({}, weights, servers({"a", "b", "c", "d"}), {});
+    ASSERT_TRUE(table.has_value());
+    expect_complete(*table);
+    EXPECT_EQ(table->ranges.size(), 4U);
+}
+
+TEST(a_key_plan, ChangesNothingWithoutNeed)
+{
+    key_weights weights;
+    const auto list = servers({"a", "b", "c"});
+    const auto table = plan_keys({}, weights, list, {});
+    EXPECT_FALSE(plan_keys(*table, weights, list, {}).has_value());
+}
+
+// Guards against a hot run of keys that stays with one server.
+TEST(a_key_plan, SplitsAHotRunOfKeys)
+{
+    key_weights weights;
+    const auto list = servers({"a", "b", "c", "d"});
+    auto table = *plan_keys({}, weights, list, {});
+    for (key_number key = 0; key < key_count; key += 64)
+        weights.add(key, 0.6);
+    for (key_number key = 20'000; key < 20'200; ++key)
+        weights.add(key, 1.8);
+    for (int round = 0; round < 8; ++round) {
+        const auto next = plan_keys(table, weights, list, {});
+        if (!next)
+            break;
+        expect_complete(*next);
+        table = *next;
+        for (key_range& range : table.ranges)
+            range.previous.clear();
+    }
+    for (const auto& [name, share] : shares(table, weights))
+        EXPECT_LT(share, 0.25 * 1.25) << name;
+}
+
+TEST(a_key_plan, MovesTheKeysOfALostServerAndNamesIt)
+{
+    key_weights weights;
+    const auto table = plan_keys({}, weights, servers({"a", "b", "c"}), {});
+    const auto next = plan_keys(*table, weights, servers({"a", "b"}), {});
+    ASSERT_TRUE(next.has_value());
+    expect_complete(*next);
+    std::size_t moved = 0;
+    for (const key_range& range : next->ranges) {
+        EXPECT_NE(range.owner.id.value(), "c");
+        if (range.previous.empty())
+            continue;
+        EXPECT_EQ(range.previous[0].server.id.value(), "c");
+        moved += range.last - range.first + 1;
+    }
+    EXPECT_NEAR(static_cast<double>(moved), key_count / 3.0, 2);
+}
+
+// Guards against the loss of a second server before the first move has ended:
+// both may still hold the keys.
+TEST(a_key_plan, KeepsEveryServerThatMayStillHoldTheKeys)
+{
+    key_weights weights;
+    const auto first = plan_keys({}, weights, servers({"a", "b"}), {});
+    const auto second = plan_keys(*first, weights, servers({"b"}), {});
+    const auto third = plan_keys(*second, weights, servers({"c"}), {});
+    ASSERT_TRUE(third.has_value());
+    bool both = false;
+    for (const key_range& range : third->ranges)
+        both = both || range.previous.size() == 2;
+    EXPECT_TRUE(both);
+}
+
+// Guards against a joined server that gets nothing while there is little load.
+TEST(a_key_plan, GivesAJoinedServerItsPartWithoutLoad)
+{
+    key_weights weights;
+    const auto table = plan_keys({}, weights, servers({"a", "b", "c"}), {});
+    const auto next =
+        plan_keys(*table, weights, servers({"a", "b", "c", "d"}), {});
+    ASSERT_TRUE(next.has_value());
+    expect_complete(*next);
+    std::size_t given = 0;
+    for (const key_range& range : next->ranges) {
+        if (range.owner.id.value() == "d")
+            given += range.last - range.first + 1;
+    }
+    EXPECT_GT(given, key_count / 10);
+}
+
+TEST(a_key_plan, GivesAFasterServerMore)
+{
+    key_weights weights;
+    for (key_number key = 0; key < key_count; key += 16)
+        weights.add(key, 1);
+    auto list = servers({"a", "b"});
+    list[1].capacity = 3;
+    const auto table = plan_keys({}, weights, list, {});
+    EXPECT_NEAR(shares(*table, weights).at("b"), 0.75, 0.05);
+}
+
+TEST(a_key_table, ReadsWhatItWrote)
+{
+    key_weights weights;
+    const auto first = plan_keys({}, weights, servers({"a", "b"}), {});
+    const auto moved = plan_keys(*first, weights, servers({"b"}), {});
+    const key_table copy = key_table::from_text(moved->text());
+    EXPECT_EQ(copy.ranges, moved->ranges);
+    EXPECT_EQ(copy.next_token, moved->next_token);
+}
+
+} // namespace
+} // namespace filberthub
