Expect work by the mean of the service times the pace of the server

Cause: the reported pace includes the speed of a server (0.5 for a fast one), so that measured times divided by it are the same for all servers, and the pace faded to 1 instead of the server's usual one. A slow server is now left alone while a faster one is free soon, and a request is asked again when its key moves.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -9,7 +9,7 @@
 #ifndef FILBERTHUB_ROUTING_SERVER_POOL_HPP
 #define FILBERTHUB_ROUTING_SERVER_POOL_HPP
 
-#include <filberthub/base/types.hpp>
+#include <filberthub/routing/work_times.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -38,16 +38,6 @@
     std::uint64_t started = 0;
 };
 
-// What a server says of its load in an answer.
-struct load_report
-{
-    unsigned running = 0;
-    unsigned waiting = 0;
-    unsigned slots = 1;
-    // Duration of work at this moment relative to the usual one.
-    double pace = 1;
-};
-
 enum class send_outcome : std::uint8_t
 {
     // A complete answer of the server.
@@ -92,10 +82,6 @@
     time_point next_cold_send;
     // Requests of this instance that wait for an answer.
     unsigned in_flight = 0;
-    // Smoothed time of an answer that did not queue, in milliseconds, at the
-    // usual pace.
-    double service_ms = 0;
-    double pace = 1;
     // Requests of other instances at the time of the last report.
     double others = 0;
     time_point reported;
@@ -143,6 +129,11 @@
     std::optional<backend_server_id> choose(const service_id& service,
         const placement_request& request, time_point now) const;
 
+    const work_times& times() const
+    {
+        return times_;
+    }
+
     // Expected time until an answer of the server, in milliseconds.
     double expected_ms(const observed_server& server, time_point now) const;
 
@@ -164,8 +155,7 @@
     cold_bound bound_;
     std::map<backend_server_id, observed_server> servers_;
     std::map<service_id, std::set<backend_server_id>> by_service_;
-    // Smoothed service time of each service, for servers without observations.
-    std::map<service_id, double> service_ms_;
+    work_times times_;
     std::set<failure_domain_id> evacuated_;
 };
 
--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -107,10 +107,10 @@
     // called some times a second.
     std::vector<gate_decision> sweep(time_point now);
 
-    // Smoothed service time of a server in milliseconds; nothing if it is not
-    // known.
-    std::optional<double> service_ms(const backend_server_id& id) const;
-    std::vector<std::pair<backend_server_id, double>> service_times() const;
+    const work_times& times() const
+    {
+        return times_;
+    }
 
     std::size_t waiting() const;
 
@@ -119,8 +119,6 @@
     {
         service_id service;
         unsigned in_flight = 0;
-        double service_ms = 0;
-        double pace = 1;
         time_point reported;
         // Requests that the server has beside those of this gate.
         double others = 0;
@@ -134,14 +132,16 @@
     {
         backend_server_id server;
         time_point until;
-        time_point begun;
+        // Whether it waited at the server for a slot.
+        bool queued = false;
     };
 
-    double usual_ms(const server_state* state, const service_id& service) const;
     double expected_ms(const observed_server& server, time_point now) const;
     bool has_slot(
         const observed_server& server, unsigned extra, time_point now) const;
     bool cold_turn(const observed_server& server, time_point now) const;
+    bool worth_using(
+        const gate_request_slot& request, double expected, double best) const;
     std::optional<backend_server_id> free_server(
         const gate_request_slot& request, time_point now) const;
     bool fits(
@@ -158,7 +158,7 @@
     const server_pool& pool_;
     cold_bound bound_;
     std::map<backend_server_id, server_state> servers_;
-    std::map<service_id, double> service_ms_;
+    work_times times_;
     std::map<ticket, running> running_;
     std::map<std::string, std::vector<gate_request_slot>> queues_;
 };
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -221,6 +221,7 @@
         wanted.owner = pick_owner(*item, now);
         if (!wanted.owner)
             return false;
+        item->server = *wanted.owner;
     }
     wanted.excluded = item->used;
     wanted.domain = own_.domain;
@@ -319,6 +320,23 @@
         wait_timer_.start(wait_check);
 }
 
+void caller_service::on_news()
+{
+    std::vector<request_ref> moved;
+    for (const request_ref& item : requests_) {
+        if (item->asking && item->state.keyed &&
+            known_.owner_of(item->service, *item->key) != item->server)
+            moved.push_back(item);
+    }
+    for (const request_ref& item : moved) {
+        item->asking = false;
+        report_to_gate(
+            *item, send_outcome::cancelled, milliseconds(0), std::nullopt);
+        advance(item);
+    }
+    retry_waiting();
+}
+
 void caller_service::retry_waiting()
 {
     std::vector<request_ref> waiting;
@@ -543,8 +561,8 @@
 
 load_counts caller_service::take_counts()
 {
-    for (const auto& [server, time] : gates_.gate().service_times())
-        counts_.service_ms[server] = time;
+    for (const auto& [server, time] : gates_.gate().times().usual_paces())
+        counts_.paces[server] = time;
     return std::exchange(counts_, {});
 }
 
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -26,7 +26,9 @@
 
     void accept(std::shared_ptr<http_exchange> exchange);
 
-    // Tries requests again that wait for an owner or a server.
+    // Tries requests again that wait for an owner or a server, or for a slot of
+    // a server that owns their key no longer.
+    void on_news();
     void retry_waiting();
     // Housekeeping, a few times a second.
     void sweep();
--- a/src/router/coordinator_duty.cpp
+++ b/src/router/coordinator_duty.cpp
@@ -19,7 +19,10 @@
 constexpr milliseconds release_timeout{1'500};
 // Orders in a row without an answer after which the keys of a server move.
 constexpr unsigned lost_after_orders = 3;
-// Weight of a report in the service time of a server.
+// A server far from the mean is taken for this slow or fast at most.
+constexpr double least_pace = 0.25;
+constexpr double most_pace = 4;
+// Weight of a report in the pace of a server.
 constexpr double report_weight = 0.2;
 // Terms are in the upper part of the version of a served fact.
 constexpr unsigned term_shift = 32;
@@ -144,16 +147,6 @@
     const service_id& id, service_duty& duty, time_point now) const
 {
     const server_pool& pool = known_.servers();
-    double sum = 0;
-    std::size_t known = 0;
-    for (const observed_server* server : pool.of_service(id)) {
-        const auto time = service_ms_.find(server->entry.id);
-        if (time != service_ms_.end()) {
-            sum += time->second;
-            ++known;
-        }
-    }
-    const double mean = known > 0 ? sum / static_cast<double>(known) : 0;
     std::vector<key_server> result;
     for (const observed_server* server : pool.of_service(id)) {
         key_server item;
@@ -163,13 +156,9 @@
             continue;
         item.may_gain = !pool.cold(*server, now);
         item.capacity = server->entry.slots;
-        const auto time = service_ms_.find(server->entry.id);
-        if (time != service_ms_.end() && mean > 0) {
-            // Measured times wander; half of the difference is trusted.
-            const double speed =
-                std::clamp(mean / std::max(time->second, 1.0), 0.4, 2.0);
-            item.capacity *= speed;
-        }
+        const auto pace = paces_.find(server->entry.id);
+        if (pace != paces_.end())
+            item.capacity /= std::clamp(pace->second, least_pace, most_pace);
         result.push_back(item);
     }
     return result;
@@ -369,8 +358,8 @@
         for (const auto& [key, count] : keys)
             found->second.keys.on_requests(key, count);
     }
-    for (const auto& [server, time] : counts.service_ms) {
-        const auto [found, is_new] = service_ms_.try_emplace(server, time);
+    for (const auto& [server, time] : counts.paces) {
+        const auto [found, is_new] = paces_.try_emplace(server, time);
         if (!is_new)
             found->second += (time - found->second) * report_weight;
     }
--- a/src/router/coordinator_duty.hpp
+++ b/src/router/coordinator_duty.hpp
@@ -68,7 +68,7 @@
     bool reading_ = false;
     time_point next_read_;
     std::map<backend_server_id, std::unique_ptr<http_client>> clients_;
-    std::map<backend_server_id, double> service_ms_;
+    std::map<backend_server_id, double> paces_;
     std::uint64_t published_ = 0;
 };
 
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -30,10 +30,10 @@
             rows.push_back({key, count});
         requests[service.value()] = std::move(rows);
     }
-    json times = json::object();
-    for (const auto& [server, time] : counts.service_ms)
-        times[server.value()] = time;
-    return {{"requests", requests}, {"service_ms", times}};
+    json paces = json::object();
+    for (const auto& [server, pace] : counts.paces)
+        paces[server.value()] = pace;
+    return {{"requests", requests}, {"paces", paces}};
 }
 
 load_counts counts_from(const json& document)
@@ -44,8 +44,8 @@
         for (const json& row : rows)
             keys[row.at(0).get<key_number>()] += row.at(1).get<std::uint32_t>();
     }
-    for (const auto& [server, time] : document.at("service_ms").items())
-        counts.service_ms[backend_server_id(server)] = time.get<double>();
+    for (const auto& [server, time] : document.at("paces").items())
+        counts.paces[backend_server_id(server)] = time.get<double>();
     return counts;
 }
 
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -21,12 +21,12 @@
 {
     // Requests per key since the last report.
     std::map<service_id, std::map<key_number, std::uint32_t>> requests;
-    // Smoothed service times in milliseconds.
-    std::map<backend_server_id, double> service_ms;
+    // Usual paces of servers, relative to the mean of their service.
+    std::map<backend_server_id, double> paces;
 
     bool empty() const
     {
-        return requests.empty() && service_ms.empty();
+        return requests.empty() && paces.empty();
     }
 };
 
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -120,10 +120,11 @@
         return;
     const endpoint host = found->second.host;
     pending_.erase(found);
-    const load_report report = result.report.value_or(load_report{0, 0, 0, 1});
+    const load_report report =
+        result.report.value_or(load_report{0, 0, 0, std::nullopt});
     send({done_message, number, static_cast<int>(result.outcome),
              result.taken.count(), report.running, report.waiting, report.slots,
-             report.pace},
+             report.pace.value_or(0)},
         host);
 }
 
@@ -218,7 +219,10 @@
     const auto slots = message.at(6).get<unsigned>();
     if (slots > 0) {
         result.report = load_report{message.at(4).get<unsigned>(),
-            message.at(5).get<unsigned>(), slots, message.at(7).get<double>()};
+            message.at(5).get<unsigned>(), slots, std::nullopt};
+        const auto pace = message.at(7).get<double>();
+        if (pace > 0)
+            result.report->pace = pace;
     }
     tell(gate_.done(
         {instance_id(to_string(sender)), message.at(1).get<std::uint64_t>()},
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -71,7 +71,7 @@
         known.on_change([this] {
             apply_limits();
             role.on_news();
-            callers.retry_waiting();
+            callers.on_news();
         });
         QObject::connect(&ticker, &QTimer::timeout, [this] { tick(); });
     }
--- a/src/router/status_page.cpp
+++ b/src/router/status_page.cpp
@@ -13,7 +13,8 @@
         {"failure_domain", server.entry.domain.value()},
         {"address", to_string(server.entry.address)},
         {"usable", pool.usable(server)}, {"cold", pool.cold(server, now)},
-        {"in_flight", server.in_flight}, {"service_ms", server.service_ms},
+        {"in_flight", server.in_flight},
+        {"expected_ms", pool.expected_ms(server, now)},
         {"success", server.success}};
 }
 
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -6,15 +6,9 @@
 namespace filberthub {
 namespace {
 
-// Weight of a new observation in a smoothed time: the speed of a server is
-// stable, its work is not.
-constexpr double time_weight = 0.1;
-// A pace changes several times a second.
-constexpr double pace_memory_ms = 300;
 // Requests of others in a report are gone after a few service times.
 constexpr double report_memory_ms = 250;
 constexpr double success_weight = 0.15;
-constexpr double initial_service_ms = 50;
 // Doubles with each failure in a row.
 constexpr milliseconds first_avoidance{250};
 constexpr milliseconds longest_avoidance{4'000};
@@ -52,6 +46,7 @@
         const unsigned in_flight = server.in_flight;
         server = {};
         server.in_flight = in_flight;
+        times_.forget(entry.id);
     }
     if (!is_new && server.entry.service != entry.service)
         by_service_[server.entry.service].erase(entry.id);
@@ -92,6 +87,7 @@
         return;
     by_service_[found->second.entry.service].erase(id);
     servers_.erase(found);
+    times_.forget(id);
 }
 
 void server_pool::set_evacuated(
@@ -185,14 +181,8 @@
 double server_pool::expected_ms(
     const observed_server& server, time_point now) const
 {
-    const auto known = service_ms_.find(server.entry.service);
-    double time = server.service_ms;
-    if (time <= 0)
-        time = known == service_ms_.end() ? initial_service_ms : known->second;
-    if (server.has_report) {
-        const double age = milliseconds_between(server.reported, now);
-        time *= 1 + (server.pace - 1) * std::exp(-age / pace_memory_ms);
-    }
+    const double time =
+        times_.expected_ms(server.entry.service, server.entry.id, now);
     const double queue =
         std::max(expected_requests(server, now) + 1 - server.entry.slots, 0.0);
     const double expected = time * (1 + queue / server.entry.slots);
@@ -264,27 +254,18 @@
     if (report) {
         const double all = report->running + report->waiting;
         server->others = std::max(all - server->in_flight, 0.0);
-        server->pace = report->pace;
         server->reported = now;
         server->has_report = true;
     }
     if (result == send_outcome::answered) {
         const bool queued = report && report->waiting > 0;
-        const auto time = static_cast<double>(taken.count()) /
-                          std::max(report ? report->pace : 1.0, 0.1);
-        double& average = service_ms_[server->entry.service];
-        average = average <= 0 ? time : smooth(average, time, time_weight / 4);
-        if (!queued) {
-            server->service_ms =
-                server->service_ms <= 0
-                    ? smooth(average, time, 0.5)
-                    : smooth(server->service_ms, time, time_weight);
-        }
+        times_.on_answer(server->entry.service, id, taken, queued, report, now);
         server->success = smooth(server->success, 1, success_weight);
         server->failures_in_row = 0;
         server->avoid_until = {};
         return;
     }
+    times_.on_report(id, report, now);
     if (result == send_outcome::refused || result == send_outcome::cancelled)
         return;
     server->success = smooth(server->success, 0, success_weight);
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -8,9 +8,6 @@
 namespace filberthub {
 namespace {
 
-constexpr double time_weight = 0.1;
-constexpr double initial_service_ms = 50;
-constexpr double pace_memory_ms = 300;
 constexpr double others_memory_ms = 300;
 // One request waits at the server while its slots are busy, so that a slot is
 // not idle for the time of a round trip.
@@ -18,6 +15,11 @@
 // Part of the expected work that has to fit before the caller leaves. Work
 // times vary, so a request a little short of time may still be served.
 constexpr double hopeless_part = 0.8;
+// Waiting for a faster server takes about as long as its work.
+constexpr double slow_server_factor = 2;
+// Work times vary by about half of their mean. Under overload each request is
+// served when it is barely in time, so that without a margin half are late.
+constexpr double goal_margin = 1.6;
 // Requests that can still be in time overtake one that cannot, so that it waits
 // longer than those ahead of it now take.
 constexpr double overtaken_factor = 2;
@@ -50,8 +52,9 @@
     if (left.rank != right.rank)
         return left.rank < right.rank;
     const time_point finish =
-        now + std::chrono::duration_cast<duration>(
-                  std::chrono::duration<double, std::milli>(work_ms));
+        now +
+        std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(work_ms * goal_margin));
     const bool left_in_time = finish <= left.goal;
     const bool right_in_time = finish <= right.goal;
     if (left_in_time != right_in_time)
@@ -83,27 +86,10 @@
     : pool_(pool), bound_(bound)
 {}
 
-double slot_gate::usual_ms(
-    const server_state* state, const service_id& service) const
-{
-    if (state != nullptr && state->service_ms > 0)
-        return state->service_ms;
-    const auto found = service_ms_.find(service);
-    return found == service_ms_.end() ? initial_service_ms : found->second;
-}
-
 double slot_gate::expected_ms(
     const observed_server& server, time_point now) const
 {
-    const auto found = servers_.find(server.entry.id);
-    const server_state* state =
-        found == servers_.end() ? nullptr : &found->second;
-    double time = usual_ms(state, server.entry.service);
-    if (state != nullptr) {
-        const double age = milliseconds_between(state->reported, now);
-        time *= 1 + (state->pace - 1) * std::exp(-age / pace_memory_ms);
-    }
-    return time;
+    return times_.expected_ms(server.entry.service, server.entry.id, now);
 }
 
 bool slot_gate::cold_turn(const observed_server& server, time_point now) const
@@ -158,30 +144,41 @@
     const std::vector<const observed_server*> all =
         pool_.of_service(request.service);
     const std::size_t groups = group_count(all.size());
-    for (const unsigned extra : {0U, prefetch}) {
-        const observed_server* best = nullptr;
-        double best_ms = 0;
-        for (const observed_server* server : all) {
-            if (!pool_.usable(*server) || !fits(request, *server) ||
-                group_of_server(server->entry, false, groups) !=
-                    request.group ||
-                !has_slot(*server, extra, now))
-                continue;
-            double time = expected_ms(*server, now);
-            // Behind busy slots it waits for about a part of their work.
-            if (extra > 0)
-                time *= 1 + 0.5 / server->entry.slots;
-            if (server->entry.domain != request.domain)
-                time += static_cast<double>(request.remote_cost.count());
-            if (best == nullptr || time < best_ms) {
-                best = server;
-                best_ms = time;
-            }
+    const observed_server* best = nullptr;
+    double best_ms = 0;
+    // What the best server would take, free or not.
+    double ideal_ms = 0;
+    for (const observed_server* server : all) {
+        if (!pool_.usable(*server) || !fits(request, *server) ||
+            group_of_server(server->entry, false, groups) != request.group ||
+            !cold_turn(*server, now))
+            continue;
+        double time = expected_ms(*server, now);
+        if (server->entry.domain != request.domain)
+            time += static_cast<double>(request.remote_cost.count());
+        const bool at_once = has_slot(*server, 0, now);
+        if (!at_once)
+            time += time / server->entry.slots;
+        if (ideal_ms <= 0 || time < ideal_ms)
+            ideal_ms = time;
+        if (!at_once && !has_slot(*server, prefetch, now))
+            continue;
+        if (best == nullptr || time < best_ms) {
+            best = server;
+            best_ms = time;
         }
-        if (best != nullptr)
-            return best->entry.id;
     }
-    return std::nullopt;
+    if (best == nullptr || !worth_using(request, best_ms, ideal_ms))
+        return std::nullopt;
+    return best->entry.id;
+}
+
+// A server that is slow at the moment is left alone if a faster one will be
+// free soon.
+bool slot_gate::worth_using(
+    const gate_request_slot&, double expected, double ideal) const
+{
+    return expected <= ideal * slow_server_factor;
 }
 
 gate_decision slot_gate::grant(const gate_request_slot& request,
@@ -196,7 +193,9 @@
         while (state.cold_sends.front() < now - cold_window)
             state.cold_sends.pop_front();
     }
-    running_[request.id] = {server, request.give_up + report_grace, now};
+    const bool queued =
+        known != nullptr && state.in_flight > known->entry.slots;
+    running_[request.id] = {server, request.give_up + report_grace, queued};
     return {request.id, gate_verdict::granted, server, milliseconds(0)};
 }
 
@@ -207,8 +206,7 @@
         const observed_server* server = pool_.find(*request.owner);
         return server == nullptr ? 0 : expected_ms(*server, now);
     }
-    const auto found = service_ms_.find(request.service);
-    return found == service_ms_.end() ? 0 : found->second;
+    return times_.mean_ms(request.service);
 }
 
 bool slot_gate::hopeless(const gate_request_slot& request, time_point now) const
@@ -221,7 +219,7 @@
     const gate_request_slot& request, time_point now) const
 {
     double rate = 0;
-    double work = initial_service_ms;
+    double work = times_.mean_ms(request.service);
     const auto add = [&](const observed_server& server) {
         work = expected_ms(server, now);
         rate += server.entry.slots / std::max(work, 1.0);
@@ -245,7 +243,8 @@
     if (queue != queues_.end()) {
         ahead += static_cast<std::size_t>(std::count_if(queue->second.begin(),
             queue->second.end(), [&](const gate_request_slot& other) {
-                return before(other, request, now, work);
+                // Equals are served in the order of their arrival.
+                return !before(request, other, now, work);
             }));
     }
     return static_cast<double>(ahead) / rate;
@@ -291,10 +290,8 @@
         return;
     std::vector<gate_request_slot>& queue = found->second;
     while (!queue.empty()) {
-        const double work = service_ms_.contains(queue.front().service)
-                                ? service_ms_.at(queue.front().service)
-                                : initial_service_ms;
-        std::sort(queue.begin(), queue.end(),
+        const double work = work_ms(queue.front(), now);
+        std::stable_sort(queue.begin(), queue.end(),
             [&](const gate_request_slot& left, const gate_request_slot& right) {
                 return before(left, right, now, work);
             });
@@ -334,6 +331,7 @@
         return decisions;
     }
     const backend_server_id server = found->second.server;
+    const bool queued = found->second.queued;
     running_.erase(found);
     server_state& state = servers_[server];
     if (state.in_flight > 0)
@@ -341,28 +339,18 @@
     if (result.report) {
         const double all = result.report->running + result.report->waiting;
         state.others = std::max(all - state.in_flight, 0.0);
-        state.pace = result.report->pace;
         state.reported = now;
     }
     if (result.outcome == send_outcome::answered) {
-        const double time = static_cast<double>(result.taken.count()) /
-                            std::max(state.pace, 0.1);
-        const bool queued =
-            result.report && result.report->running >= result.report->slots;
-        double& average = service_ms_[state.service];
-        average =
-            average <= 0 ? time : average + (time - average) * time_weight / 4;
-        if (!queued || state.service_ms <= 0) {
-            state.service_ms =
-                state.service_ms <= 0
-                    ? (time + average) / 2
-                    : state.service_ms +
-                          (time - state.service_ms) * time_weight;
-        }
+        times_.on_answer(
+            state.service, server, result.taken, queued, result.report, now);
         state.failures = 0;
         state.avoid_until = {};
-    } else if (result.outcome == send_outcome::lost ||
-               result.outcome == send_outcome::unreachable) {
+    } else {
+        times_.on_report(server, result.report, now);
+    }
+    if (result.outcome == send_outcome::lost ||
+        result.outcome == send_outcome::unreachable) {
         const unsigned doublings = std::min(state.failures, 4U);
         ++state.failures;
         if (result.outcome == send_outcome::unreachable || state.failures > 2)
@@ -395,30 +383,15 @@
     std::erase_if(
         queues_, [](const auto& item) { return item.second.empty(); });
     std::erase_if(servers_, [this](const auto& item) {
-        return item.second.in_flight == 0 && pool_.find(item.first) == nullptr;
+        const bool gone =
+            item.second.in_flight == 0 && pool_.find(item.first) == nullptr;
+        if (gone)
+            times_.forget(item.first);
+        return gone;
     });
     return decisions;
 }
 
-std::optional<double> slot_gate::service_ms(const backend_server_id& id) const
-{
-    const auto found = servers_.find(id);
-    if (found == servers_.end() || found->second.service_ms <= 0)
-        return std::nullopt;
-    return found->second.service_ms;
-}
-
-std::vector<std::pair<backend_server_id, double>>
-slot_gate::service_times() const
-{
-    std::vector<std::pair<backend_server_id, double>> result;
-    for (const auto& [id, state] : servers_) {
-        if (state.service_ms > 0)
-            result.emplace_back(id, state.service_ms);
-    }
-    return result;
-}
-
 std::size_t slot_gate::waiting() const
 {
     std::size_t count = 0;
--- a/test/platform_adapter/adapter_test.cpp
+++ b/test/platform_adapter/adapter_test.cpp
@@ -133,7 +133,7 @@
     EXPECT_EQ(report->running, 3U);
     EXPECT_EQ(report->waiting, 1U);
     EXPECT_EQ(report->slots, 8U);
-    EXPECT_DOUBLE_EQ(report->pace, 2.5);
+    EXPECT_DOUBLE_EQ(report->pace.value(), 2.5);
     for (const char* text : {"", "3", "3,1", "a,b,c", "-1,0,2", "1,2,3,"}) {
         headers.set("X-Filberthub-Server-Load", text);
         EXPECT_FALSE(decode_load(headers).has_value()) << text;
