--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -60,7 +60,6 @@
     milliseconds remote_cost{3};
     // Servers that have had this request already.
     std::span<const backend_server_id> excluded;
-    std::size_t fleet_size = 1;
     // Uniform random numbers in [0, 1).
     std::function<double()> draw;
 };
@@ -100,6 +99,12 @@
 public:
     server_pool(failure_domain_id own_domain, cold_bound bound);
 
+    // Sets the number of instances among which bounds are divided.
+    void set_fleet_size(std::size_t size)
+    {
+        fleet_size_ = size;
+    }
+
     // Adds or changes a server. `cold_rate` is that of its service.
     void put(const server_entry& entry, double cold_rate, double draw,
         time_point now);
@@ -137,8 +142,7 @@
     // Expected time until an answer of the server, in milliseconds.
     double expected_ms(const observed_server& server, time_point now) const;
 
-    void on_sent(
-        const backend_server_id& id, std::size_t fleet_size, time_point now);
+    void on_sent(const backend_server_id& id, time_point now);
     void on_finished(const backend_server_id& id, send_outcome result,
         milliseconds taken, const std::optional<load_report>& report,
         time_point now);
@@ -148,11 +152,11 @@
     double expected_requests(
         const observed_server& server, time_point now) const;
     observed_server* find_mutable(const backend_server_id& id);
-    double cold_interval_seconds(
-        const observed_server& server, std::size_t fleet_size) const;
+    double cold_interval_seconds(const observed_server& server) const;
 
     failure_domain_id own_domain_;
     cold_bound bound_;
+    std::size_t fleet_size_ = 1;
     std::map<backend_server_id, observed_server> servers_;
     std::map<service_id, std::set<backend_server_id>> by_service_;
     work_times times_;
--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -119,6 +119,8 @@
     {
         service_id service;
         unsigned in_flight = 0;
+        // When this gate first granted the server.
+        time_point begun;
         time_point reported;
         // Requests that the server has beside those of this gate.
         double others = 0;
--- a/src/router/beliefs.cpp
+++ b/src/router/beliefs.cpp
@@ -26,16 +26,19 @@
     : servers_(own.domain, own.bounds.cold),
       fleet_size_(assumed_fleet_size),
       random_(std::random_device{}())
-{}
+{
+    servers_.set_fleet_size(fleet_size_);
+}
 
 void beliefs::set_fleet_size(std::size_t size, time_point now)
 {
-    const bool aged = !fleet_size_seen_ ||
-                      now >= *fleet_size_seen_ + fleet_size_memory;
+    const bool aged =
+        !fleet_size_seen_ || now >= *fleet_size_seen_ + fleet_size_memory;
     if (size < fleet_size_ && !aged)
         return;
     fleet_size_ = size;
     fleet_size_seen_ = now;
+    servers_.set_fleet_size(size);
 }
 
 double beliefs::draw()
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -198,7 +198,6 @@
                              ? remote_cost_large
                              : remote_cost;
     wanted.excluded = item.used;
-    wanted.fleet_size = known_.fleet_size();
     wanted.draw = [this] { return known_.draw(); };
     return known_.servers().choose(item.service, wanted, now);
 }
@@ -394,7 +393,7 @@
     item->sent = now;
     if (item->state.sends > 0)
         repeats_.add();
-    known_.servers().on_sent(server, known_.fleet_size(), now);
+    known_.servers().on_sent(server, now);
     item->call = client->send(forwarded(*item, now),
         std::max(elapsed(now, item->state.give_up), milliseconds(1)),
         [this, item, server](http_result result) {
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -170,8 +170,7 @@
     item.next_send = now + options_.renewal;
     open_.emplace(last_order_, open_order{false, item.range.owner,
                                    item.range.token, now, item.hold_until});
-    item.hold_until =
-        std::max(item.hold_until, now + options_.longest_hold());
+    item.hold_until = std::max(item.hold_until, now + options_.longest_hold());
     orders.push_back({last_order_, false, item.range.owner, item.range.first,
         item.range.last, item.range.token, options_.hold,
         item.accepted ? std::string() : item.handover});
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -12,10 +12,9 @@
 // Doubles with each failure in a row.
 constexpr milliseconds first_avoidance{250};
 constexpr milliseconds longest_avoidance{4'000};
-// A bound that is split over more instances than it has requests is kept only
-// on average, so that half of it stays in reserve.
-constexpr double used_cold_bound = 0.95;
-constexpr double used_split_cold_bound = 0.5;
+// Part of the bound for requests that go to a cold server without its gate. The
+// gate uses up to 0.55, and turns that are drawn at random bunch up.
+constexpr double used_cold_bound = 0.2;
 // A move of keys takes a plan, a write and a release, far less than this; the
 // platform's tightest bound for leaving servers is 2 s.
 constexpr milliseconds keyed_leave_time{1'200};
@@ -74,8 +73,10 @@
         return;
     if (!cold(*server, now)) {
         // Instances learn this at the same moment and must not start together.
-        server->next_cold_send = now + std::chrono::duration_cast<duration>(
-                                           std::chrono::duration<double>(draw));
+        server->next_cold_send =
+            now +
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                draw * cold_interval_seconds(*server)));
     }
     server->cold_until = std::max(server->cold_until, now + time);
 }
@@ -151,20 +152,15 @@
     return !cold(server, now) || now >= server.next_cold_send;
 }
 
-double server_pool::cold_interval_seconds(
-    const observed_server& server, std::size_t fleet_size) const
+double server_pool::cold_interval_seconds(const observed_server& server) const
 {
     const double bound =
         server.rate_tolerated_cold * bound_.factor + bound_.tolerance;
     const auto instances =
-        static_cast<double>(std::max<std::size_t>(fleet_size, 1));
+        static_cast<double>(std::max<std::size_t>(fleet_size_, 1));
     if (bound <= 0)
         return 3600;
-    if (instances <= bound * used_cold_bound)
-        return std::max(
-                   1.0 / std::floor(bound * used_cold_bound / instances), 0.0) *
-               1.02;
-    return instances / (bound * used_split_cold_bound);
+    return instances / (bound * used_cold_bound);
 }
 
 double server_pool::expected_requests(
@@ -227,18 +223,16 @@
     return best->entry.id;
 }
 
-void server_pool::on_sent(
-    const backend_server_id& id, std::size_t fleet_size, time_point now)
+void server_pool::on_sent(const backend_server_id& id, time_point now)
 {
     observed_server* server = find_mutable(id);
     if (server == nullptr)
         return;
     ++server->in_flight;
     if (cold(*server, now)) {
-        server->next_cold_send =
-            now +
-            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-                cold_interval_seconds(*server, fleet_size)));
+        server->next_cold_send = now + std::chrono::duration_cast<duration>(
+                                           std::chrono::duration<double>(
+                                               cold_interval_seconds(*server)));
     }
 }
 
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -30,9 +30,12 @@
 constexpr milliseconds longest_avoidance{2'000};
 constexpr milliseconds least_return{20};
 constexpr milliseconds longest_return{500};
-// The rest of the bound is for sends that did not ask a gate.
-constexpr double used_cold_bound = 0.7;
-constexpr milliseconds cold_window{1'050};
+// The rest of the bound is for instances that cannot reach the gate, and for
+// requests that were granted earlier and arrive late.
+constexpr double used_cold_bound = 0.55;
+constexpr milliseconds cold_window{1'100};
+// A gate that has just begun does not know what its predecessor granted.
+constexpr double new_gate_part = 0.5;
 
 double milliseconds_between(time_point from, time_point to)
 {
@@ -96,12 +99,14 @@
 {
     if (!pool_.cold(server, now))
         return true;
-    const double allowed =
+    double allowed =
         (server.rate_tolerated_cold * bound_.factor + bound_.tolerance) *
         used_cold_bound;
     const auto found = servers_.find(server.entry.id);
     if (found == servers_.end())
         return allowed >= 1;
+    if (now < found->second.begun + cold_window)
+        allowed *= new_gate_part;
     const auto recent = std::count_if(found->second.cold_sends.begin(),
         found->second.cold_sends.end(),
         [now](time_point sent) { return sent > now - cold_window; });
@@ -184,7 +189,10 @@
 gate_decision slot_gate::grant(const gate_request_slot& request,
     const backend_server_id& server, time_point now)
 {
-    server_state& state = servers_[server];
+    const auto [found, is_new] = servers_.try_emplace(server);
+    server_state& state = found->second;
+    if (is_new)
+        state.begun = now;
     state.service = request.service;
     ++state.in_flight;
     const observed_server* known = pool_.find(server);
