--- a/test/routing/slot_gate_test.cpp
+++ b/test/routing/slot_gate_test.cpp
@@ -15,7 +15,7 @@
 
 class a_gate : public testing::Test
 {
-protected:
+public:
     a_gate()
     {
         put(server_builder("s1").build());
