--- a/include/filberthub/base/types.hpp
+++ b/include/filberthub/base/types.hpp
@@ -69,6 +69,7 @@
     std::string address;
     std::uint16_t port = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in strong_number
     auto operator<=>(const endpoint&) const = default;
 };
 
--- a/include/filberthub/routing/key_table.hpp
+++ b/include/filberthub/routing/key_table.hpp
@@ -25,6 +25,7 @@
     // Start of the process in Unix milliseconds.
     std::uint64_t started = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in strong_number
     auto operator<=>(const server_life&) const = default;
 };
 
@@ -34,6 +35,7 @@
     server_life server;
     fencing_token token;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in strong_number
     auto operator<=>(const previous_owner&) const = default;
 };
 
@@ -48,6 +50,7 @@
     // Servers that may still hold the keys; empty once the owner has begun.
     std::vector<previous_owner> previous;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in strong_number
     auto operator<=>(const key_range&) const = default;
 };
 
--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -27,6 +27,7 @@
     instance_id asker;
     std::uint64_t number = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): as in strong_number
     auto operator<=>(const ticket&) const = default;
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -281,7 +281,7 @@
 } // namespace detail
 
 http_client::http_client(endpoint address, http_client_options options)
-    : address_(std::move(address)), options_(options)
+    : address_(std::move(address)), options_(std::move(options))
 {
     timer_.setSingleShot(true);
     timer_.setTimerType(Qt::PreciseTimer);
--- a/src/router/backend_links.cpp
+++ b/src/router/backend_links.cpp
@@ -39,8 +39,10 @@
     if (server == nullptr)
         return nullptr;
     std::unique_ptr<http_client>& client = clients_[id];
-    if (client && client->address() != server->entry.address)
+    if (client && client->address() != server->entry.address) {
         retired_.push_back(std::move(client));
+        client = nullptr;
+    }
     const std::size_t connections = connections_for(*server);
     if (!client) {
         http_client_options options;
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -167,7 +167,7 @@
 std::optional<backend_server_id> caller_service::pick_owner(
     request& item, time_point now)
 {
-    const auto owner = known_.owner_of(item.service, *item.key);
+    auto owner = known_.owner_of(item.service, *item.key);
     if (!owner)
         return std::nullopt;
     const observed_server* server = known_.servers().find(*owner);
@@ -542,8 +542,9 @@
     if (item->done)
         return;
     item->done = true;
-    const request_ref keep = item;
-    requests_.erase(keep->position);
+    // The list may hold the last reference.
+    const auto position = item->position;
+    requests_.erase(position);
 }
 
 void caller_service::on_cancelled(const request_ref& item)
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -178,7 +178,7 @@
 }
 
 store_session::store_session(const endpoint& address, metric_registry& metrics,
-    std::function<void(const watch_news&)> news,
+    const std::function<void(const watch_news&)>& news,
     std::function<time_point()> clock)
     : clock_(std::move(clock)),
       calls_(metrics.add_counter(
--- a/src/router/store_session.hpp
+++ b/src/router/store_session.hpp
@@ -73,7 +73,7 @@
 {
 public:
     store_session(const endpoint& address, metric_registry& metrics,
-        std::function<void(const watch_news&)> news,
+        const std::function<void(const watch_news&)>& news,
         std::function<time_point()> clock);
 
     // Watches the objects that the operator and the servers write.
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -17,6 +17,9 @@
 constexpr double hopeless_part = 0.8;
 // Waiting for a faster server takes about as long as its work.
 constexpr double slow_server_factor = 2;
+// Requests in a queue that can no longer all be in time, with the two slots
+// that most servers have.
+constexpr std::size_t overload_queue = 4;
 // Work times vary by about half of their mean. Under overload each request is
 // served when it is barely in time, so that without a margin half are late.
 constexpr double goal_margin = 1.6;
@@ -48,9 +51,10 @@
 }
 
 // Orders by urgency. Among equals, those that can still be in time come first,
-// and of these the one with the earliest goal.
+// and of these the one with the earliest goal, or under overload the one with
+// the latest: otherwise each would be served when it is barely in time.
 bool before(const gate_request_slot& left, const gate_request_slot& right,
-    time_point now, double work_ms)
+    time_point now, double work_ms, bool overload = false)
 {
     if (left.rank != right.rank)
         return left.rank < right.rank;
@@ -62,7 +66,8 @@
     const bool right_in_time = finish <= right.goal;
     if (left_in_time != right_in_time)
         return left_in_time;
-    return left.goal < right.goal;
+    return left_in_time && overload ? left.goal > right.goal
+                                    : left.goal < right.goal;
 }
 
 } // namespace
@@ -299,9 +304,10 @@
     std::vector<gate_request_slot>& queue = found->second;
     while (!queue.empty()) {
         const double work = work_ms(queue.front(), now);
+        const bool overload = queue.size() > overload_queue;
         std::stable_sort(queue.begin(), queue.end(),
             [&](const gate_request_slot& left, const gate_request_slot& right) {
-                return before(left, right, now, work);
+                return before(left, right, now, work, overload);
             });
         bool granted = false;
         for (auto at = queue.begin(); at != queue.end(); ++at) {
