--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -14,6 +14,7 @@
 #ifndef FILBERTHUB_ROUTING_SLOT_GATE_HPP
 #define FILBERTHUB_ROUTING_SLOT_GATE_HPP
 
+#include <filberthub/routing/server_groups.hpp>
 #include <filberthub/routing/server_pool.hpp>
 
 #include <deque>
@@ -78,17 +79,6 @@
     std::optional<load_report> report;
 };
 
-// Groups of an unkeyed service have about this many servers: enough to balance
-// well, and few enough for a small instance to admit to.
-inline constexpr std::size_t group_size = 12;
-
-// Returns the number of groups of a service with so many servers.
-std::size_t group_count(std::size_t servers);
-
-// Returns the name of the group of a server.
-std::string group_of_server(
-    const server_entry& server, bool keyed, std::size_t groups);
-
 class slot_gate
 {
 public:
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -1,4 +1,4 @@
-#include "router/caller_service.hpp"
+#include "router/caller_request.hpp"
 
 #include <filberthub/telemetry/log.hpp>
 
@@ -13,21 +13,8 @@
 // For a request that does not say how long its caller waits.
 constexpr milliseconds default_allowed{10'000};
 constexpr milliseconds longest_allowed{600'000};
-// Requests that wait for an owner or a server are looked at this often, and
-// whenever something was learned.
-constexpr milliseconds wait_check{15};
-// Longest wait for an owner: a move takes a fraction of it.
-constexpr milliseconds longest_owner_wait{300};
 // Pause before the owner of a key is asked again after it refused.
 constexpr milliseconds refused_pause{20};
-// A caller that comes back after this time finds a moved key or a freed slot.
-constexpr milliseconds return_after{60};
-constexpr milliseconds return_after_loss{400};
-// What crossing a failure domain is taken to cost: its delay, and for a large
-// body also the priced bytes.
-constexpr milliseconds remote_cost{4};
-constexpr std::size_t large_body = 16'384;
-constexpr milliseconds remote_cost_large{25};
 
 std::optional<milliseconds> caller_time(const http_headers& headers)
 {
@@ -42,6 +29,22 @@
     return std::min(milliseconds(value), longest_allowed);
 }
 
+// A target may carry the scheme and the host (RFC 9112, 3.2.2), which then
+// stand for the Host field.
+void normalize_target(http_request& request)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!request.target.starts_with(scheme))
+        return;
+    const std::size_t slash = request.target.find('/', scheme.size());
+    request.headers.set("Host",
+        request.target.substr(scheme.size(), slash == std::string::npos
+                                                 ? std::string::npos
+                                                 : slash - scheme.size()));
+    request.target =
+        slash == std::string::npos ? "/" : request.target.substr(slash);
+}
+
 std::string seconds_text(milliseconds time)
 {
     std::string digits = std::to_string(time.count() % 1000);
@@ -49,38 +52,8 @@
     return std::to_string(time.count() / 1000) + "." + digits;
 }
 
-milliseconds elapsed(time_point from, time_point to)
-{
-    return std::chrono::duration_cast<milliseconds>(to - from);
-}
-
 } // namespace
 
-struct caller_service::request
-{
-    std::shared_ptr<http_exchange> exchange;
-    // Keeps the route alive while the configuration changes.
-    std::shared_ptr<const route_table> routes;
-    const route_rule* route = nullptr;
-    service_id service;
-    std::optional<key_number> key;
-    std::string id;
-    request_state state;
-    time_point arrived;
-    time_point not_before;
-    std::vector<backend_server_id> used;
-    http_client* client = nullptr;
-    call_number call;
-    backend_server_id server;
-    time_point sent;
-    bool done = false;
-    bool waiting = false;
-    // Open ask or granted slot at the gate.
-    std::optional<std::uint64_t> gate_number;
-    bool asking = false;
-    std::list<request_ref>::iterator position;
-};
-
 caller_service::caller_service(const route_settings& own, beliefs& known,
     gate_service& gates, metric_registry& metrics,
     std::function<time_point()> clock)
@@ -120,7 +93,8 @@
     item->exchange = std::move(exchange);
     item->arrived = now;
     item->position = requests_.insert(requests_.end(), item);
-    const http_request& head = item->exchange->request();
+    http_request& head = item->exchange->request();
+    normalize_target(head);
     item->id = std::string(head.headers.get(header::request_id).value_or(""));
     item->routes = known_.routes();
     if (!item->routes || !known_.ready()) {
@@ -164,204 +138,6 @@
     advance(item);
 }
 
-std::optional<backend_server_id> caller_service::pick_owner(
-    request& item, time_point now)
-{
-    auto owner = known_.owner_of(item.service, *item.key);
-    if (!owner)
-        return std::nullopt;
-    const observed_server* server = known_.servers().find(*owner);
-    if (server == nullptr || !known_.servers().may_send_keyed(*server, now) ||
-        now < server->avoid_until)
-        return std::nullopt;
-    return owner;
-}
-
-// The keys of a lost server move when its grants have ended, which takes longer
-// than a caller waits.
-bool caller_service::owner_is_lost(const request& item, time_point now) const
-{
-    const auto owner = known_.owner_of(item.service, *item.key);
-    if (!owner)
-        return false;
-    const observed_server* server = known_.servers().find(*owner);
-    return server == nullptr || now < server->avoid_until;
-}
-
-std::optional<backend_server_id> caller_service::pick(
-    request& item, time_point now)
-{
-    if (item.state.keyed)
-        return pick_owner(item, now);
-    placement_request wanted;
-    wanted.remote_cost = item.exchange->request().body.size() > large_body
-                             ? remote_cost_large
-                             : remote_cost;
-    wanted.excluded = item.used;
-    wanted.draw = [this] { return known_.draw(); };
-    return known_.servers().choose(item.service, wanted, now);
-}
-
-void caller_service::advance(const request_ref& item)
-{
-    if (item->done || item->asking)
-        return;
-    const time_point now = clock_();
-    if (now + least_attempt_time >= item->state.give_up) {
-        fail(item, failure_of(item->state, true, return_after),
-            "no time left for an attempt");
-        return;
-    }
-    if (now < item->not_before) {
-        wait(item, now);
-        return;
-    }
-    if (!ask_gate(item, now))
-        send_alone(item, now);
-}
-
-// Asks the gate of the owner, or of a group of servers. Returns false if there
-// is nobody to ask.
-bool caller_service::ask_gate(const request_ref& item, time_point now)
-{
-    gate_request_slot wanted;
-    wanted.service = item->service;
-    if (item->state.keyed) {
-        wanted.owner = pick_owner(*item, now);
-        if (!wanted.owner)
-            return false;
-        item->server = *wanted.owner;
-    }
-    wanted.excluded = item->used;
-    wanted.domain = own_.domain;
-    wanted.remote_cost = item->exchange->request().body.size() > large_body
-                             ? remote_cost_large
-                             : remote_cost;
-    wanted.rank = item->route->rank;
-    wanted.goal = item->arrived + item->route->latency_goal;
-    wanted.give_up = item->state.give_up;
-    const std::weak_ptr<request> weak = item;
-    item->gate_number = gates_.ask(std::move(wanted),
-        known_.servers().of_service(item->service).size(),
-        [this, weak](const gate_answer& answer) {
-            if (const request_ref same = weak.lock())
-                on_gate_answer(same, answer);
-        });
-    item->asking = item->gate_number.has_value();
-    return item->asking;
-}
-
-void caller_service::on_gate_answer(
-    const request_ref& item, const gate_answer& answer)
-{
-    item->asking = false;
-    if (item->done)
-        return;
-    const time_point now = clock_();
-    switch (answer.verdict) {
-    case gate_answer::kind::silent:
-        item->gate_number.reset();
-        log_event(log_level::info, "gate did not answer",
-            {{log_key::request_id, item->id},
-                {log_key::service, item->service.value()}});
-        send_alone(item, now);
-        return;
-    case gate_answer::kind::refused:
-        item->gate_number.reset();
-        fail(item, failure_of(item->state, false, answer.wait),
-            "no room before the time limit");
-        return;
-    case gate_answer::kind::granted:
-        break;
-    }
-    const observed_server* server = known_.servers().find(answer.server);
-    const bool fit =
-        server != nullptr && now >= server->avoid_until &&
-        (item->state.keyed ? !server->unusable_since ||
-                                 known_.servers().may_send_keyed(*server, now)
-                           : known_.servers().usable(*server));
-    if (fit) {
-        send(item, answer.server, now);
-        return;
-    }
-    report_to_gate(
-        *item, send_outcome::unreachable, milliseconds(0), std::nullopt);
-    send_alone(item, now);
-}
-
-void caller_service::report_to_gate(request& item, send_outcome outcome,
-    milliseconds taken, const std::optional<load_report>& report)
-{
-    if (!item.gate_number)
-        return;
-    gates_.done(*item.gate_number, {outcome, taken, report});
-    item.gate_number.reset();
-}
-
-void caller_service::send_alone(const request_ref& item, time_point now)
-{
-    const auto server = pick(*item, now);
-    if (server) {
-        send(item, *server, now);
-        return;
-    }
-    if (!item->state.keyed) {
-        // Nobody else may run it: waiting would not help.
-        fail(item, failure_of(item->state, false, return_after_loss),
-            "no server left to try");
-        return;
-    }
-    if (owner_is_lost(*item, now) ||
-        now >= item->arrived + longest_owner_wait) {
-        fail(item, failure_of(item->state, false, return_after_loss),
-            "no owner of the key");
-        return;
-    }
-    wait(item, now);
-}
-
-void caller_service::wait(const request_ref& item, time_point)
-{
-    if (!item->waiting) {
-        item->waiting = true;
-        waiting_.push_back(item);
-    }
-    if (!wait_timer_.isActive())
-        wait_timer_.start(wait_check);
-}
-
-void caller_service::on_news()
-{
-    std::vector<request_ref> moved;
-    for (const request_ref& item : requests_) {
-        if (item->asking && item->state.keyed &&
-            known_.owner_of(item->service, *item->key) != item->server)
-            moved.push_back(item);
-    }
-    for (const request_ref& item : moved) {
-        item->asking = false;
-        report_to_gate(
-            *item, send_outcome::cancelled, milliseconds(0), std::nullopt);
-        advance(item);
-    }
-    retry_waiting();
-}
-
-void caller_service::retry_waiting()
-{
-    std::vector<request_ref> waiting;
-    waiting.swap(waiting_);
-    // The most urgent ones first, and among them the oldest.
-    std::stable_sort(waiting.begin(), waiting.end(),
-        [](const request_ref& left, const request_ref& right) {
-            return left->route->rank < right->route->rank;
-        });
-    for (const request_ref& item : waiting) {
-        item->waiting = false;
-        advance(item);
-    }
-}
-
 http_request caller_service::forwarded(
     const request& item, time_point now) const
 {
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -1,7 +1,5 @@
 #include <filberthub/routing/slot_gate.hpp>
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 
@@ -72,24 +70,6 @@
 
 } // namespace
 
-std::size_t group_count(std::size_t servers)
-{
-    return std::max<std::size_t>(1, (servers + group_size / 2) / group_size);
-}
-
-std::string group_of_server(
-    const server_entry& server, bool keyed, std::size_t groups)
-{
-    if (keyed)
-        return server.service.value() + "/" + server.id.value();
-    const std::size_t index =
-        groups <= 1
-            ? 0
-            : XXH3_64bits(server.id.value().data(), server.id.value().size()) %
-                  groups;
-    return server.service.value() + "/" + std::to_string(index);
-}
-
 slot_gate::slot_gate(const server_pool& pool, cold_bound bound)
     : pool_(pool), bound_(bound)
 {}
