--- a/include/filberthub/telemetry/log.hpp
+++ b/include/filberthub/telemetry/log.hpp
@@ -116,6 +116,10 @@
 void start_logging(
     spdlog::sink_ptr sink, log_level minimum, std::string_view instance);
 
+// Bounds the lines per second below the level `warn`; further ones are counted
+// and reported in one line of the next second. 0 means no bound.
+void limit_log_rate(unsigned lines_per_second);
+
 // Changes the minimum level.
 void set_log_level(log_level minimum);
 
--- a/src/app/route.cpp
+++ b/src/app/route.cpp
@@ -23,6 +23,10 @@
     [[maybe_unused]] const auto written = write(route_signal_pipe, &byte, 1);
 }
 
+// Per second: several lines for each request that an instance of the users'
+// platform gets on its heaviest days (about 40 a second).
+constexpr unsigned most_log_lines = 250;
+
 int open_route_signal_pipe()
 {
     int ends[2] = {-1, -1};
@@ -59,6 +63,7 @@
         route_settings::from_text(read_file(path.getValue()));
     start_logging(make_log_sink(own.log_output),
         log_level_from_string(own.log_level), own.instance.value());
+    limit_log_rate(most_log_lines);
     std::signal(SIGPIPE, SIG_IGN);
     const int signals = open_route_signal_pipe();
     router instance(own);
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -281,6 +281,14 @@
     platform_api::remove_internal_fields(response.headers);
     served_.add();
     latency_.add(static_cast<double>(elapsed(item->arrived, clock_()).count()));
+    log_event(log_level::info, "request served",
+        {{log_key::request_id, item->id},
+            {log_key::service, item->service.value()},
+            {log_key::server, item->server.value()},
+            {log_key::status, response.status}, {"sends", item->state.sends},
+            {"gate_ms", elapsed(item->arrived, item->sent).count()},
+            {log_key::duration_ms, elapsed(item->arrived, clock_()).count()},
+            {log_key::revision, item->routes->config().version.value()}});
     const std::shared_ptr<http_exchange> exchange = item->exchange;
     finish(item);
     exchange->respond(std::move(response));
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -9,7 +9,10 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cmath>
+#include <mutex>
+#include <utility>
 
 namespace filberthub {
 namespace {
@@ -45,6 +48,40 @@
         value);
 }
 
+// Lines of the present second, when there is a limit.
+struct line_budget_state
+{
+    unsigned limit = 0;
+    std::chrono::steady_clock::time_point second;
+    unsigned lines = 0;
+    std::uint64_t dropped = 0;
+};
+
+std::mutex line_budget_mutex;
+line_budget_state line_budget;
+
+// Returns whether a line may be written, and how many were dropped in the
+// second before.
+bool take_line(log_level level, std::uint64_t& dropped)
+{
+    const std::lock_guard lock(line_budget_mutex);
+    line_budget_state& state = line_budget;
+    if (state.limit == 0)
+        return true;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - state.second >= std::chrono::seconds(1)) {
+        state.second = now;
+        state.lines = 0;
+        dropped = std::exchange(state.dropped, 0);
+    }
+    if (state.lines >= state.limit && level < log_level::warn) {
+        ++state.dropped;
+        return false;
+    }
+    ++state.lines;
+    return true;
+}
+
 } // namespace
 
 log_level log_level_from_string(std::string_view text)
@@ -97,12 +134,28 @@
     spdlog::default_logger_raw()->set_level(spdlog_level(minimum));
 }
 
+void limit_log_rate(unsigned lines_per_second)
+{
+    const std::lock_guard lock(line_budget_mutex);
+    line_budget = {};
+    line_budget.limit = lines_per_second;
+}
+
 void log_event(log_level level, std::string_view message,
     std::initializer_list<log_field> fields)
 {
     spdlog::logger* logger = spdlog::default_logger_raw();
     if (!logger->should_log(spdlog_level(level)))
         return;
+    std::uint64_t dropped = 0;
+    if (!take_line(level, dropped))
+        return;
+    if (dropped > 0) {
+        logger->log(spdlog::level::warn,
+            spdlog::string_view_t("\"level\":\"warn\",\"message\":\"log lines "
+                                  "dropped\",\"lines\":" +
+                                  std::to_string(dropped)));
+    }
     std::string line = "\"level\":\"";
     line += level_names.at(static_cast<std::size_t>(level));
     line += "\",\"message\":" + json_text(message);
--- a/test/telemetry/log_test.cpp
+++ b/test/telemetry/log_test.cpp
@@ -2,8 +2,11 @@
 #include <filberthub/telemetry/log.hpp>
 
 #include <gtest/gtest.h>
+
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <spdlog/sinks/ostream_sink.h>
+#include <thread>
 
 #include <sstream>
 
@@ -70,5 +73,22 @@
     EXPECT_THROW(make_log_sink("/proc/no/such/file"), error);
 }
 
+// Guards against a log that grows with the load, and against dropped lines that
+// nobody learns of.
+TEST_F(Log, BoundsTheLinesOfASecondAndReportsTheRest)
+{
+    start(log_level::info, "i");
+    limit_log_rate(3);
+    for (int line = 0; line < 10; ++line)
+        log_event(log_level::info, "request served");
+    log_event(log_level::warn, "lease lapsed");
+    const std::string text = text_.str();
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 4);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'010));
+    log_event(log_level::info, "request served");
+    EXPECT_NE(text_.str().find("\"lines\":7"), std::string::npos);
+    limit_log_rate(0);
+}
+
 } // namespace
 } // namespace filberthub
