--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,7 @@
     files=("$@")
 else
     mapfile -t files < <(git ls-files -co --exclude-standard \
-        'src/*.cpp' 'tools/*.cpp' | grep -v '/generated/' |
+        'src/*.cpp' 'platform/*.cpp' 'tools/*.cpp' | grep -v '/generated/' |
         while read -r f; do [ -e "$f" ] && echo "$f"; done)
 fi
 [ "${#files[@]}" -gt 0 ] || exit 0
