--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,3 +11,4 @@
 # Four tests at once: timed tests with real processes need idle cores.
 ctest --preset dev -j 4 --output-on-failure
 bash scripts/prove.sh --short
+bash scripts/check_deploy.sh
