Refuse requests without a Host field, accept absolute targets, in the decoder

Cause: the listener of `serve` routed a request of HTTP/1.1 without Host (400 is due, RFC 9112, 3.2) and answered the absolute form of a target with 400, though a server has to accept it (3.2.2). `route` had a copy of its own for the second.

The decoder now does both for each listener, and the copy in `route` is gone. Ruled out: checks in each service, which would stay two copies.

Tests: RefusedRequests NoHost, TwoHosts and AbsoluteTargetWithoutAHost, and AcceptedTargets; all but Origin failed before.

--- a/include/filberthub/http/decoder.hpp
+++ b/include/filberthub/http/decoder.hpp
@@ -28,7 +28,9 @@
 // Turns the bytes of one connection into requests. It holds at most the head
 // limit and the body limit, plus what was fed and not yet decoded. Message
 // shapes on which two parsers can disagree are refused: both length fields,
-// repeated lengths, a bare LF, folded lines, unknown transfer codings.
+// repeated lengths, a bare LF, folded lines, unknown transfer codings, a Host
+// field that is repeated or, in HTTP/1.1, missing. Targets are in origin form:
+// the host of an absolute target becomes the Host field.
 class request_decoder
 {
 public:
--- a/src/http/decoder.cpp
+++ b/src/http/decoder.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
+
 namespace filberthub {
 namespace {
 
@@ -64,6 +66,45 @@
     }
 }
 
+// Refuses a request of HTTP/1.1 without exactly one Host field (RFC 9112, 3.2).
+void check_host(const http_request& request, unsigned version)
+{
+    const auto& fields = request.headers.fields();
+    const auto hosts = std::count_if(
+        fields.begin(), fields.end(), [](const http_headers::field& item) {
+            return same_header_name(item.name, "Host");
+        });
+    if (hosts > 1 || (hosts == 0 && version >= 11)) {
+        throw error(error_kind::bad_request, "the head has " +
+                                                 std::to_string(hosts) +
+                                                 " Host fields, expected one");
+    }
+}
+
+// Replaces an absolute target by its path and query. Its host stands for the
+// Host field (RFC 9112, 3.2.2).
+void normalize_target(http_request& request)
+{
+    constexpr std::string_view scheme = "http://";
+    if (request.target.size() < scheme.size() ||
+        !same_header_name(
+            std::string_view(request.target).substr(0, scheme.size()), scheme))
+        return;
+    const std::size_t end = request.target.find_first_of("/?", scheme.size());
+    const std::string host = request.target.substr(scheme.size(),
+        end == std::string::npos ? std::string::npos : end - scheme.size());
+    if (host.empty()) {
+        throw error(error_kind::bad_request,
+            "target \"" + request.target + "\" has no host");
+    }
+    request.headers.set("Host", host);
+    std::string rest =
+        end == std::string::npos ? "/" : request.target.substr(end);
+    if (rest.front() == '?')
+        rest.insert(rest.begin(), '/');
+    request.target = std::move(rest);
+}
+
 template <class Message>
 http_headers copy_headers(const Message& message)
 {
@@ -195,6 +236,8 @@
     request.headers = copy_headers(message);
     request.keep_alive = message.keep_alive();
     request.body = std::move(message.body());
+    check_host(request, message.version());
+    normalize_target(request);
     return request;
 }
 
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -29,22 +29,6 @@
     return std::min(milliseconds(value), longest_allowed);
 }
 
-// A target may carry the scheme and the host (RFC 9112, 3.2.2), which then
-// stand for the Host field.
-void normalize_target(http_request& request)
-{
-    constexpr std::string_view scheme = "http://";
-    if (!request.target.starts_with(scheme))
-        return;
-    const std::size_t slash = request.target.find('/', scheme.size());
-    request.headers.set("Host",
-        request.target.substr(scheme.size(), slash == std::string::npos
-                                                 ? std::string::npos
-                                                 : slash - scheme.size()));
-    request.target =
-        slash == std::string::npos ? "/" : request.target.substr(slash);
-}
-
 std::string seconds_text(milliseconds time)
 {
     std::string digits = std::to_string(time.count() % 1000);
@@ -93,8 +77,7 @@
     item->exchange = std::move(exchange);
     item->arrived = now;
     item->position = requests_.insert(requests_.end(), item);
-    http_request& head = item->exchange->request();
-    normalize_target(head);
+    const http_request& head = item->exchange->request();
     item->id = std::string(head.headers.get(header::request_id).value_or(""));
     item->routes = known_.routes();
     if (!item->routes || !known_.ready()) {
--- a/test/http/decoder_test.cpp
+++ b/test/http/decoder_test.cpp
@@ -81,6 +81,14 @@
             error_kind::bad_request},
         refused_request{"Garbage", std::string(32, '\x01') + "\r\n\r\n",
             error_kind::bad_request},
+        refused_request{
+            "NoHost", "GET / HTTP/1.1\r\n\r\n", error_kind::bad_request},
+        refused_request{"TwoHosts",
+            "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+            error_kind::bad_request},
+        refused_request{"AbsoluteTargetWithoutAHost",
+            "GET http:///x HTTP/1.1\r\nHost: a\r\n\r\n",
+            error_kind::bad_request},
         refused_request{"HugeHead", head + std::string(2000, 'x'),
             error_kind::head_too_large},
         refused_request{"HugeBody", head + "Content-Length: 65\r\n\r\n",
@@ -91,6 +99,44 @@
             error_kind::body_too_large}),
     [](const auto& row) { return std::string(row.param.name); });
 
+struct accepted_target
+{
+    const char* name;
+    const char* line;
+    const char* host;
+    const char* target;
+};
+
+class AcceptedTargets : public testing::TestWithParam<accepted_target>
+{};
+
+// Guards against a proxy's form of the target being refused or routed by the
+// wrong host.
+TEST_P(AcceptedTargets, AreInOriginForm)
+{
+    request_decoder decoder({});
+    decoder.feed("GET " + std::string(GetParam().line) + "\r\nHost: a\r\n\r\n");
+    const auto request = decoder.next();
+    ASSERT_TRUE(request);
+    EXPECT_EQ(request->headers.get("Host"), GetParam().host);
+    EXPECT_EQ(request->target, GetParam().target);
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, AcceptedTargets,
+    testing::Values(accepted_target{"Origin", "/x?y=http://b/ HTTP/1.1", "a",
+                        "/x?y=http://b/"},
+        accepted_target{"Absolute", "http://b:80/x?y HTTP/1.1", "b:80", "/x?y"},
+        accepted_target{"UpperCaseScheme", "HTTP://b/x HTTP/1.1", "b", "/x"},
+        accepted_target{"AbsoluteWithoutAPath", "http://b HTTP/1.1", "b", "/"},
+        accepted_target{
+            "AbsoluteWithAQueryOnly", "http://b?y HTTP/1.1", "b", "/?y"}),
+    [](const auto& row) { return std::string(row.param.name); });
+
+TEST(RequestDecoder, TakesARequestOfHttp10WithoutAHost)
+{
+    EXPECT_FALSE(request_error("GET / HTTP/1.0\r\n\r\n"));
+}
+
 std::optional<error_kind> response_error(const std::string& bytes)
 {
     response_decoder decoder({});
