Answer what is open before a leaving process ends

A process that leaves refuses what it has not sent 1 s before its end, which is true, and answers the rest with 504 just before.

Test: a_router.RefusesWhatItHasNotSentBeforeItEnds, with the store and a server in the process; it failed before (both requests saw a closed connection).

--- a/include/filberthub/net/http_client.hpp
+++ b/include/filberthub/net/http_client.hpp
@@ -88,6 +88,9 @@
     // the server.
     bool cancel(call_number number);
 
+    // Whether bytes of an open call were sent.
+    bool is_sent(call_number number) const;
+
     // Sets what is called when the server closes or resets a connection that
     // it should have kept. A server that restarts is seen in this way.
     void on_reset(std::function<void()> callback);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -330,6 +330,12 @@
     return sent;
 }
 
+bool http_client::is_sent(call_number number) const
+{
+    const auto found = calls_.find(number);
+    return found != calls_.end() && found->second.sent;
+}
+
 void http_client::on_reset(std::function<void()> callback)
 {
     reset_ = std::move(callback);
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -80,6 +80,10 @@
     const http_request& head = item->exchange->request();
     item->id = std::string(head.headers.get(header::request_id).value_or(""));
     item->routes = known_.routes();
+    if (ending_) {
+        fail(item, {503, return_after}, "this instance is stopping");
+        return;
+    }
     if (!item->routes || !known_.ready()) {
         fail(item, {503, return_after_loss}, "no configuration yet");
         return;
@@ -318,20 +322,58 @@
 {
     if (item->done)
         return;
-    const time_point now = clock_();
-    if (item->client != nullptr) {
-        item->client->cancel(item->call);
-        item->client = nullptr;
-        known_.servers().on_finished(item->server, send_outcome::cancelled,
-            elapsed(item->sent, now), std::nullopt, now);
-    }
-    report_to_gate(
-        *item, send_outcome::cancelled, elapsed(item->sent, now), std::nullopt);
+    withdraw(*item, clock_());
     log_event(
         log_level::debug, "caller left", {{log_key::request_id, item->id}});
     finish(item);
 }
 
+// Ends the attempt of a request, and its wait for a slot.
+void caller_service::withdraw(request& item, time_point now)
+{
+    if (item.client != nullptr) {
+        item.client->cancel(item.call);
+        item.client = nullptr;
+        known_.servers().on_finished(item.server, send_outcome::cancelled,
+            elapsed(item.sent, now), std::nullopt, now);
+    }
+    item.asking = false;
+    report_to_gate(
+        item, send_outcome::cancelled, elapsed(item.sent, now), std::nullopt);
+}
+
+bool caller_service::is_sent(const request& item) const
+{
+    return item.client != nullptr && item.client->is_sent(item.call);
+}
+
+void caller_service::refuse_unsent()
+{
+    ending_ = true;
+    const std::list<request_ref> open = requests_;
+    for (const request_ref& item : open) {
+        if (item->done || is_sent(*item))
+            continue;
+        withdraw(*item, clock_());
+        fail(item, failure_of(item->state, false, return_after),
+            "this instance is stopping");
+    }
+}
+
+void caller_service::answer_all()
+{
+    refuse_unsent();
+    const std::list<request_ref> open = requests_;
+    for (const request_ref& item : open) {
+        if (item->done)
+            continue;
+        item->state.may_have_run = true;
+        withdraw(*item, clock_());
+        fail(item, failure_of(item->state, true, return_after),
+            "this instance stops before the server has answered");
+    }
+}
+
 void caller_service::sweep()
 {
     links_.sweep();
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -33,6 +33,12 @@
     // Housekeeping, a few times a second.
     void sweep();
 
+    // To be called when this process has too little time left to begin work.
+    // Refuses the requests that were not sent, and all further ones.
+    void refuse_unsent();
+    // To be called when this process ends. Answers all requests.
+    void answer_all();
+
     // Returns what was counted since the last call, for the coordinator.
     load_counts take_counts();
 
@@ -70,6 +76,8 @@
         std::string_view reason);
     void finish(const request_ref& item);
     void on_cancelled(const request_ref& item);
+    bool is_sent(const request& item) const;
+    void withdraw(request& item, time_point now);
     window_budget& budget_of(const service_id& service);
     http_request forwarded(const request& item, time_point now) const;
 
@@ -83,6 +91,7 @@
     std::map<service_id, window_budget> budgets_;
     load_counts counts_;
     QTimer wait_timer_;
+    bool ending_ = false;
     counter& served_;
     counter& refused_;
     counter& failed_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds least_leave_time{3'400};
 // The process ends by itself before the platform kills it.
 constexpr milliseconds kill_margin{600};
+// Work that begins later than this before the end would be cut; most requests
+// take less.
+constexpr milliseconds last_work_time{1'000};
 
 http_listener_options caller_options()
 {
@@ -111,11 +114,20 @@
         }
         const bool idle =
             callers.in_flight() == 0 && caller_listener.connection_count() == 0;
-        const bool time_over =
-            now >= leave_begun + own.bounds.stop_grace - kill_margin;
+        const time_point end =
+            leave_begun + own.bounds.stop_grace - kill_margin;
+        const bool time_over = now >= end;
+        if (time_over && callers.in_flight() > 0) {
+            log_event(log_level::warn, "requests are open at the end",
+                {{"in_flight", callers.in_flight()}});
+            // The answers are on their way before the next tick.
+            callers.answer_all();
+            return;
+        }
+        if (now >= end - last_work_time)
+            callers.refuse_unsent();
         if ((idle && now >= leave_begun + least_leave_time) || time_over) {
-            log_event(log_level::info, "stopped",
-                {{"in_flight", callers.in_flight()}, {"time_over", time_over}});
+            log_event(log_level::info, "stopped", {{"time_over", time_over}});
             ticker.stop();
             left();
         }
--- /dev/null
+++ b/test/router/fake_platform.hpp
@@ -0,0 +1,138 @@
+// The platform's store and one backend server in the process of the test.
+
+#ifndef FILBERTHUB_TEST_ROUTER_FAKE_PLATFORM_HPP
+#define FILBERTHUB_TEST_ROUTER_FAKE_PLATFORM_HPP
+
+#include <filberthub/base/json_reader.hpp>
+#include <filberthub/net/http_listener.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace filberthub::test {
+
+// Answers lists, reads and writes. Watches wait until something changes.
+class fake_store
+{
+public:
+    fake_store()
+        : listener_({}, [this](std::shared_ptr<http_exchange> exchange) {
+              handle(std::move(exchange));
+          })
+    {
+        listener_.listen({"127.0.0.1", 0});
+    }
+
+    endpoint address() const
+    {
+        return listener_.address();
+    }
+
+    void put(
+        const std::string& kind, const std::string& name, const json& content)
+    {
+        ++revision_;
+        objects_[kind][name] = {
+            {"Metadata", {{"Name", name}, {"Revision", revision_}}},
+            {"Spec", content}};
+        // A watch that ends without events is made again.
+        for (const std::shared_ptr<http_exchange>& watch : watches_)
+            watch->respond(answer(200, {{"items", json::array()}}));
+        watches_.clear();
+    }
+
+private:
+    static http_response answer(int status, const json& body)
+    {
+        http_response response;
+        response.status = status;
+        response.body = body.dump();
+        return response;
+    }
+
+    void handle(std::shared_ptr<http_exchange> exchange)
+    {
+        const http_request& request = exchange->request();
+        const std::string prefix = "/-/objects/";
+        const std::string path =
+            request.target.substr(0, request.target.find('?'))
+                .substr(prefix.size());
+        const std::size_t slash = path.find('/');
+        const std::string kind = path.substr(0, slash);
+        if (request.target.find("Watch=") != std::string::npos) {
+            watches_.push_back(std::move(exchange));
+            return;
+        }
+        if (request.method != "GET") {
+            const json document = json::parse(request.body);
+            const std::string name =
+                slash == std::string::npos
+                    ? document.at("Metadata").at("Name").get<std::string>()
+                    : path.substr(slash + 1);
+            ++revision_;
+            objects_[kind][name] = {
+                {"Metadata", {{"Name", name}, {"Revision", revision_}}},
+                {"Spec", document.at("Spec")}};
+            exchange->respond(answer(200, objects_[kind][name]));
+            return;
+        }
+        if (slash != std::string::npos) {
+            const auto found = objects_[kind].find(path.substr(slash + 1));
+            exchange->respond(found == objects_[kind].end()
+                                  ? answer(404, json::object())
+                                  : answer(200, found->second));
+            return;
+        }
+        json items = json::array();
+        for (const auto& [name, object] : objects_[kind])
+            items.push_back(object);
+        exchange->respond(answer(200, {{"items", items}, {"HasMore", false},
+                                          {"StoreRevision", revision_}}));
+    }
+
+    http_listener listener_;
+    std::map<std::string, std::map<std::string, json>> objects_;
+    std::vector<std::shared_ptr<http_exchange>> watches_;
+    std::uint64_t revision_ = 100;
+};
+
+// Keeps the requests until the test answers them.
+class fake_server
+{
+public:
+    fake_server()
+        : listener_({}, [this](std::shared_ptr<http_exchange> exchange) {
+              requests.push_back(std::move(exchange));
+          })
+    {
+        listener_.listen({"127.0.0.1", 0});
+    }
+
+    endpoint address() const
+    {
+        return listener_.address();
+    }
+
+    void answer(std::size_t index, const std::string& body)
+    {
+        http_response response;
+        response.headers.set("X-Filberthub-Server-Signature", "signed");
+        response.headers.set("X-Filberthub-Request-Id",
+            std::string(requests.at(index)
+                            ->request()
+                            .headers.get("X-Filberthub-Request-Id")
+                            .value_or("")));
+        response.body = body;
+        requests.at(index)->respond(std::move(response));
+    }
+
+    std::vector<std::shared_ptr<http_exchange>> requests;
+
+private:
+    http_listener listener_;
+};
+
+} // namespace filberthub::test
+
+#endif
--- /dev/null
+++ b/test/router/router_test.cpp
@@ -0,0 +1,152 @@
+#include "net/loop.hpp"
+#include "router/fake_platform.hpp"
+
+#include <filberthub/net/http_client.hpp>
+#include <filberthub/router/router.hpp>
+
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+namespace filberthub {
+namespace {
+
+using test::run_until;
+
+// An address for each process and test, so that two runs do not meet.
+std::string own_address()
+{
+    const std::string test =
+        testing::UnitTest::GetInstance()->current_test_info()->name();
+    const std::size_t number = std::hash<std::string>()(test) % 100;
+    return "127." + std::to_string(130 + number) + "." +
+           std::to_string(getpid() / 250 % 250) + "." +
+           std::to_string(getpid() % 250 + 1);
+}
+
+class a_router : public testing::Test
+{
+protected:
+    a_router()
+        : client_({own_address(), 8'080}, {.max_connections = 8}),
+          router_(settings())
+    {
+        store_.put("config", "main",
+            {{"Version", "0000000c"},
+                {"Routes",
+                    {{{"Name", "edit"}, {"Hostname", "maps.example"},
+                        {"PathPrefix", "/edit/"}, {"RouteType", "unsafe"},
+                        {"Service", "edits"}, {"MaxAttempts", 2},
+                        {"TargetLatencyMs", 10'000}}}},
+                {"Services", {{{"Name", "edits"}, {"MaxConnections", 2}}}}});
+        store_.put("servers", "i-1",
+            {{"Service", "edits"}, {"Address", to_string(server_.address())},
+                {"Zone", "a"}, {"Capacity", 1}, {"State", "ready"},
+                {"WarmupLeftMs", 0}});
+        router_.start();
+    }
+
+    route_settings settings() const
+    {
+        route_settings own;
+        own.instance = instance_id("router-1");
+        own.domain = failure_domain_id("a");
+        own.callers = {own_address(), 8'080};
+        own.readiness = {own_address(), 8'081};
+        own.peers = {own_address(), 8'082};
+        own.operators = {own_address(), 8'083};
+        own.store = store_.address();
+        own.bounds.stop_grace = milliseconds(3'000);
+        return own;
+    }
+
+    bool becomes_ready()
+    {
+        http_client asking({own_address(), 8'081}, http_client_options{});
+        int status = 0;
+        return run_until([&] {
+            if (asking.calls() == 0 && status != 200) {
+                asking.send(http_request{}, milliseconds(500),
+                    [&](const http_result& result) {
+                        status = result.response ? result.response->status : 0;
+                    });
+            }
+            return status == 200;
+        });
+    }
+
+    void send(const std::string& id)
+    {
+        http_request request;
+        request.method = "POST";
+        request.target = "/edit/" + id;
+        request.headers.set("Host", "maps.example");
+        request.headers.set("X-Filberthub-Request-Id", id);
+        request.headers.set("X-Filberthub-Deadline-Ms", "20000");
+        client_.send(std::move(request), milliseconds(20'000),
+            [this, id](const http_result& result) { answers_[id] = result; });
+    }
+
+    int status_of(const std::string& id) const
+    {
+        const auto found = answers_.find(id);
+        return found == answers_.end() || !found->second.response
+                   ? 0
+                   : found->second.response->status;
+    }
+
+    std::size_t answers_with(int status) const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, result] : answers_)
+            count += status_of(id) == status ? 1 : 0;
+        return count;
+    }
+
+    test::fake_store store_;
+    test::fake_server server_;
+    http_client client_;
+    std::map<std::string, http_result> answers_;
+    router router_;
+};
+
+TEST_F(a_router, PassesARequestOnWithTheServerThatItExpects)
+{
+    ASSERT_TRUE(becomes_ready());
+    send("r1");
+    ASSERT_TRUE(run_until([&] { return server_.requests.size() == 1; }));
+    const http_headers& seen = server_.requests[0]->request().headers;
+    EXPECT_EQ(seen.get("X-Filberthub-Expect-Instance"), "i-1");
+    EXPECT_EQ(seen.get("X-Filberthub-Request-Id"), "r1");
+    server_.answer(0, "done");
+    ASSERT_TRUE(run_until([&] { return status_of("r1") == 200; }));
+    EXPECT_EQ(answers_["r1"].response->body, "done");
+}
+
+// Guards against a process that ends with requests in its queue: their callers
+// saw a closed connection, which does not say that the request has not run.
+TEST_F(a_router, RefusesWhatItHasNotSentBeforeItEnds)
+{
+    ASSERT_TRUE(becomes_ready());
+    for (const char* id : {"r1", "r2", "r3", "r4"})
+        send(id);
+    ASSERT_TRUE(run_until([&] { return server_.requests.size() == 2; }));
+    bool left = false;
+    const time_point begun = std::chrono::steady_clock::now();
+    router_.leave([&] { left = true; });
+    ASSERT_TRUE(run_until([&] { return answers_.size() == 2; }));
+    EXPECT_EQ(answers_with(503), 2U);
+    for (const auto& [id, result] : answers_)
+        EXPECT_TRUE(result.response->headers.get("Retry-After")) << id;
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, milliseconds(2'000));
+    EXPECT_EQ(server_.requests.size(), 2U);
+    server_.answer(0, "done");
+    ASSERT_TRUE(run_until([&] { return answers_with(200) == 1; }));
+    // The other one may run at its server, so it is not refused.
+    ASSERT_TRUE(run_until([&] { return left; }));
+    ASSERT_TRUE(run_until([&] { return answers_.size() == 4; }));
+    EXPECT_EQ(answers_with(504), 1U);
+}
+
+} // namespace
+} // namespace filberthub
