Remember coordinators before the one that left

Cause: found by reading. A coordinator that was replaced and does not know it may grant for 8 s. Its successor waits for that, but when the successor leaves or restarts, the next one took over its keys at once. A takeover from a coordinator that is cut off, which is alive, makes this more likely.

The lease record says for how long earlier coordinators may go on granting.

Test: a_lease.RemembersAHolderBeforeTheOneThatLeft.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -29,6 +29,9 @@
     std::uint64_t run = 0;
     // Counts the renewals, so that others see that the holder lives.
     std::uint64_t renewal = 0;
+    // How long after this write coordinators before the holder may go on
+    // granting.
+    milliseconds others_grant{0};
 
     bool operator==(const lease_record&) const = default;
 
@@ -109,12 +112,11 @@
     {
         return revision_;
     }
-    // Time at which every grant of earlier coordinators has been sent, if the
-    // lease was taken over at `now`.
-    time_point old_lease_end(time_point now) const;
-    bool predecessor_left() const
+    // Time at which every grant of earlier coordinators has been sent. Valid
+    // for the holder.
+    time_point old_lease_end() const
     {
-        return predecessor_left_;
+        return old_lease_end_;
     }
 
 private:
@@ -125,7 +127,6 @@
     bool known_ = false;
     bool needs_read_ = true;
     bool write_open_ = false;
-    bool predecessor_left_ = false;
     // What the coordinator said of itself since the last sign of a renewal.
     bool cut_off_ = false;
     // The lease has to be read since then.
@@ -134,6 +135,9 @@
     bool uncertain_ = false;
     lease_record written_;
     time_point written_at_;
+    // When the record was seen first, which is after it was written.
+    time_point record_seen_;
+    time_point old_lease_end_;
     time_point next_write_;
     // Last sign of life of the coordinator, or when its absence was noticed.
     time_point heard_;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -263,7 +263,7 @@
         const std::uint64_t term = lease_.record()->term;
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         duty_ = std::make_unique<coordinator_duty>(
-            own_, known_, store_, term, lease_.old_lease_end(now), clock_);
+            own_, known_, store_, term, lease_.old_lease_end(), clock_);
     }
     if (now >= next_counts_) {
         next_counts_ = now + own_counts_interval;
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -2,6 +2,8 @@
 
 #include <filberthub/base/json_reader.hpp>
 
+#include <algorithm>
+
 namespace filberthub {
 namespace {
 
@@ -22,13 +24,16 @@
     record.run = static_cast<std::uint64_t>(reader.integer("run", 0, largest));
     record.renewal =
         static_cast<std::uint64_t>(reader.integer("renewal", 0, largest));
+    record.others_grant =
+        milliseconds(reader.integer_or("others_grant_ms", 0, largest, 0));
     return record;
 }
 
 std::string lease_record::text() const
 {
     return json{{"holder", holder.value()}, {"address", to_string(address)},
-        {"term", term}, {"run", run}, {"renewal", renewal}}
+        {"term", term}, {"run", run}, {"renewal", renewal},
+        {"others_grant_ms", others_grant.count()}}
         .dump();
 }
 
@@ -48,6 +53,8 @@
     if (changed && !read_due_)
         cut_off_ = false;
     read_due_ = false;
+    if (changed)
+        record_seen_ = now;
     record_ = record;
     revision_ = store_revision;
     known_ = true;
@@ -109,8 +116,15 @@
         if (now < heard_ + wait)
             return std::nullopt;
         next.term = record_ ? record_->term + 1 : 1;
-        predecessor_left_ = own_name || (record_ && record_->holder.empty());
+        // A holder that left or started again grants no more, but one that was
+        // replaced before it may not know it yet.
+        if (own_name || (record_ && record_->holder.empty()))
+            old_lease_end_ = record_seen_ + record_->others_grant;
+        else
+            old_lease_end_ = now + options_.duration;
     }
+    next.others_grant = std::max(
+        milliseconds(0), std::chrono::ceil<milliseconds>(old_lease_end_ - now));
     write_open_ = true;
     written_ = next;
     written_at_ = now;
@@ -123,6 +137,8 @@
         return std::nullopt;
     lease_record next;
     next.term = record_->term + 1;
+    // What was left at the last renewal is at least what is left now.
+    next.others_grant = record_->others_grant;
     confirmed_.reset();
     write_open_ = true;
     written_ = next;
@@ -148,9 +164,4 @@
     next_write_ = now + options_.retry;
 }
 
-time_point coordinator_lease::old_lease_end(time_point now) const
-{
-    return predecessor_left_ ? now : now + options_.duration;
-}
-
 } // namespace filberthub
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -130,7 +130,43 @@
     coordinator_lease lease = lease_of("a", 2);
     lease.on_read(record_of("a", 1), 4, at_ms(0));
     EXPECT_TRUE(lease.due(at_ms(0)).has_value());
-    EXPECT_TRUE(lease.predecessor_left());
+    EXPECT_EQ(lease.old_lease_end(), at_ms(0));
+}
+
+TEST(a_lease, OfASilentHolderEndsBeforeItsGrantsAreTakenOver)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease.on_read(record_of("a", 1), 4, at_ms(0));
+    const auto write = lease.due(at_ms(2'000));
+    ASSERT_TRUE(write.has_value());
+    EXPECT_EQ(lease.old_lease_end(), at_ms(10'000));
+    EXPECT_EQ(write->record.others_grant, milliseconds(8'000));
+}
+
+// Guards against two owners of a key: a coordinator that was replaced and does
+// not know it goes on granting, also while its successor leaves or restarts.
+TEST(a_lease, RemembersAHolderBeforeTheOneThatLeft)
+{
+    coordinator_lease second = lease_of("b", 2);
+    second.on_read(record_of("a", 1), 4, at_ms(0));
+    second.due(at_ms(2'000));
+    second.on_written(5, at_ms(2'005));
+    const auto renewal = second.due(at_ms(3'000));
+    ASSERT_TRUE(renewal.has_value());
+    EXPECT_EQ(renewal->record.others_grant, milliseconds(7'000));
+    second.on_written(6, at_ms(3'005));
+    const auto left = second.leave();
+    ASSERT_TRUE(left.has_value());
+
+    coordinator_lease third = lease_of("c", 3);
+    third.on_read(left->record, 7, at_ms(3'100));
+    ASSERT_TRUE(third.due(at_ms(3'100)).has_value());
+    EXPECT_GE(third.old_lease_end(), at_ms(10'000));
+
+    coordinator_lease restarted = lease_of("b", 4);
+    restarted.on_read(renewal->record, 6, at_ms(3'100));
+    ASSERT_TRUE(restarted.due(at_ms(3'100)).has_value());
+    EXPECT_GE(restarted.old_lease_end(), at_ms(10'000));
 }
 
 TEST(a_lease, IgnoresAnOlderCopy)
@@ -146,6 +182,7 @@
     lease_record record = record_of("a", 17);
     record.term = 3;
     record.renewal = 5;
+    record.others_grant = milliseconds(1'700);
     EXPECT_EQ(lease_record::from_text(record.text()), record);
 }
 
