Refuse waiting requests as soon as nothing is left for them

Whether a request still fits was asked at its arrival only; later just the first of a queue was looked at.

The whole queue is looked at whenever it is served. Under overload a request that cannot be in time counts as overtaken; at other times only those ahead count.

Test: a_gate.RefusesWaitingRequestsOnceTheirTurnIsTooLate; it failed before.

--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -133,20 +133,27 @@
     bool has_slot(
         const observed_server& server, unsigned extra, time_point now) const;
     bool cold_turn(const observed_server& server, time_point now) const;
-    bool worth_using(
-        const gate_request_slot& request, double expected, double best) const;
     std::optional<backend_server_id> free_server(
         const gate_request_slot& request, time_point now) const;
     bool fits(
         const gate_request_slot& request, const observed_server& server) const;
     gate_decision grant(const gate_request_slot& request,
         const backend_server_id& server, time_point now);
+    // How fast the servers that may run a request work.
+    double requests_per_ms(
+        const gate_request_slot& request, time_point now) const;
     double expected_wait_ms(
         const gate_request_slot& request, time_point now) const;
     void dispatch(const std::string& group, time_point now,
         std::vector<gate_decision>& decisions);
     double work_ms(const gate_request_slot& request, time_point now) const;
-    bool hopeless(const gate_request_slot& request, time_point now) const;
+    bool hopeless(
+        const gate_request_slot& request, double wait_ms, time_point now) const;
+    double overtaken_wait_ms(
+        const gate_request_slot& request, double wait_ms, time_point now) const;
+    // Refuses the requests of a queue that will not get a slot in time.
+    void refuse_hopeless(std::vector<gate_request_slot>& queue, time_point now,
+        std::vector<gate_decision>& decisions) const;
 
     const server_pool& pool_;
     cold_bound bound_;
--- a/test/routing/slot_gate_test.cpp
+++ b/test/routing/slot_gate_test.cpp
@@ -230,6 +230,36 @@
     void tick(std::int64_t) {}
 };
 
+// Guards against requests that are held until their callers leave, although
+// more urgent ones take each slot: told at once, a caller can come back in
+// time.
+TEST_F(a_gate, RefusesWaitingRequestsOnceTheirTurnIsTooLate)
+{
+    for (std::uint64_t number = 1; number <= 3; ++number)
+        ask(request(number, 0), 0);
+    for (std::uint64_t number = 4; number <= 9; ++number)
+        EXPECT_EQ(ask(request(number, 0), 0), gate_verdict::queued);
+    std::map<std::uint64_t, std::int64_t> refused;
+    const auto note = [&](const std::vector<gate_decision>& decisions,
+                          std::int64_t ms) {
+        for (const gate_decision& decision : decisions) {
+            if (decision.verdict == gate_verdict::refused)
+                refused[decision.id.number] = ms;
+        }
+    };
+    std::uint64_t number = 100;
+    for (std::int64_t ms = 10; ms <= 200; ms += 10) {
+        gate_request_slot urgent = request(++number, ms);
+        urgent.rank = 1;
+        note(gate_.ask(urgent, at_ms(ms)), ms);
+        if (ms % 40 == 0)
+            note(gate_.sweep(at_ms(ms)), ms);
+    }
+    // Their callers leave at 500 ms.
+    for (std::uint64_t old = 4; old <= 9; ++old)
+        EXPECT_TRUE(refused.contains(old)) << "request " << old;
+}
+
 // Guards against an overloaded server whose answers all come late: without a
 // gate its queue is always full, and each request waits for all of it.
 TEST_F(a_gate, KeepsAnswersInTimeUnderOverload)
