Tell a coordinator that was cut off from the store to stop

It answers its polls, so it can be told: the new one asks it to stop, and counts the old grants from its answer.

An instance also reads the lease when it first hears that the coordinator is cut off.

Tests: a_lease.OfAHolderThatStoppedEndsAtOnce, IsNotResumedAfterAnotherTookIt, a_new_coordinator.WaitsLessForAnOldOneThatStopped.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -75,9 +75,9 @@
     // The coordinator answered this process and reaches the store.
     void on_coordinator_heard(time_point now);
     // The coordinator answered this process, and the store has not answered it
-    // for longer than a renewal takes. Unless a renewal is seen, the lease is
-    // taken over once it has been read.
-    void on_coordinator_cut_off();
+    // for longer than a renewal takes. Returns whether the lease has to be read
+    // now; unless a renewal is seen after that, it is taken over.
+    bool on_coordinator_cut_off();
 
     // Returns the write to make now: a renewal, or a takeover if the
     // coordinator is silent. None while an earlier one is open.
@@ -112,6 +112,17 @@
     {
         return revision_;
     }
+    // The holder that this process took the lease from without knowing that it
+    // grants no more.
+    const std::optional<lease_record>& predecessor() const
+    {
+        return predecessor_;
+    }
+    // The predecessor said that it grants no more.
+    void on_predecessor_stopped(time_point now);
+    // A holder of a later term asked this process to grant no more.
+    void on_superseded(std::uint64_t term);
+
     // Time at which every grant of earlier coordinators has been sent. Valid
     // for the holder.
     time_point old_lease_end() const
@@ -138,6 +149,11 @@
     // When the record was seen first, which is after it was written.
     time_point record_seen_;
     time_point old_lease_end_;
+    // The same for the coordinators before the predecessor.
+    time_point older_lease_end_;
+    std::optional<lease_record> predecessor_;
+    // Terms below this one are over.
+    std::uint64_t superseded_by_ = 0;
     time_point next_write_;
     // Last sign of life of the coordinator, or when its absence was noticed.
     time_point heard_;
--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -35,6 +35,9 @@
     void begin(const std::optional<key_table>& stored,
         std::uint64_t store_revision, time_point old_holds_end, time_point now);
 
+    // Earlier coordinators have stopped: their grants end at this time.
+    void shorten_old_holds(time_point old_holds_end);
+
     void on_requests(key_number key, double count);
 
     // Returns the next write, if the table has to change. None while an
--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -75,6 +75,8 @@
     // last until `old_holds_end`.
     void take_over(
         const key_table& table, time_point old_holds_end, time_point now);
+    // What earlier coordinators granted ends at this time.
+    void shorten_old_holds(time_point old_holds_end);
     // Takes the next committed table.
     void adopt(const key_table& table, time_point now);
     // A life of a server has ended for certain; it holds nothing any more.
--- a/src/router/coordinator_duty.cpp
+++ b/src/router/coordinator_duty.cpp
@@ -370,6 +370,14 @@
         now);
 }
 
+void coordinator_duty::on_predecessor_stopped(time_point old_lease_end)
+{
+    old_holds_end_ = std::min(
+        old_holds_end_, old_lease_end + key_granter_options{}.longest_hold());
+    for (auto& [id, duty] : duties_)
+        duty.keys.shorten_old_holds(old_holds_end_);
+}
+
 void coordinator_duty::on_report(const load_counts& counts)
 {
     for (const auto& [service, keys] : counts.requests) {
--- a/src/router/coordinator_duty.hpp
+++ b/src/router/coordinator_duty.hpp
@@ -26,6 +26,8 @@
     // is valid.
     void work(time_point now);
     void on_report(const load_counts& counts);
+    // Earlier coordinators send no more grants from this time on.
+    void on_predecessor_stopped(time_point old_lease_end);
 
 private:
     struct service_duty
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -15,6 +15,8 @@
 namespace filberthub {
 
 inline constexpr const char* feed_path = "/feed";
+// Where a coordinator is told that another one has taken its lease.
+inline constexpr const char* stop_path = "/stop";
 
 // What an instance tells the coordinator.
 struct load_counts
--- /dev/null
+++ b/src/router/fleet_lease.cpp
@@ -0,0 +1,175 @@
+// How `fleet_role` reads and writes the coordinator lease, and what
+// coordinators tell each other about it.
+
+#include "router/fleet_role.hpp"
+
+#include <filberthub/base/json_reader.hpp>
+#include <filberthub/telemetry/log.hpp>
+
+namespace filberthub {
+namespace {
+
+using platform_api::object_kind;
+using platform_api::store_outcome;
+
+constexpr const char* lease_name = "coordinator";
+// A coordinator that does not answer by then may be gone.
+constexpr milliseconds stop_timeout{800};
+
+} // namespace
+
+void fleet_role::on_lease_facts(const watch_news& news)
+{
+    const std::string key =
+        platform_api::fact_key(object_kind::coordinator_lease, lease_name);
+    bool found = false;
+    for (const fact& item : news.facts) {
+        if (item.key != key || !item.value)
+            continue;
+        found = true;
+        try {
+            lease_.on_read(lease_record::from_text(*item.value),
+                platform_api::store_revision_of(item.version), clock_());
+        } catch (const error& failure) {
+            log_event(log_level::warn, "coordinator lease is malformed",
+                {{log_key::error, failure.what()}});
+        }
+    }
+    if (news.complete && !found)
+        lease_.on_read(std::nullopt, 0, clock_());
+    tick_soon();
+}
+
+void fleet_role::take_object(const std::string& body)
+{
+    try {
+        const auto object = platform_api::decode_object(body);
+        lease_.on_read(lease_record::from_text(object.content),
+            object.store_revision, clock_());
+    } catch (const error& failure) {
+        log_event(log_level::warn, "coordinator lease is malformed",
+            {{log_key::error, failure.what()}});
+        lease_.on_write_failed(clock_());
+    }
+}
+
+void fleet_role::read_lease()
+{
+    if (reading_)
+        return;
+    reading_ = true;
+    store_.call(
+        platform_api::read_call(object_kind::coordinator_lease, lease_name),
+        [this](store_outcome outcome, const std::string& body) {
+            reading_ = false;
+            if (outcome == store_outcome::done)
+                take_object(body);
+            else if (outcome == store_outcome::not_found)
+                lease_.on_read(std::nullopt, 0, clock_());
+            else
+                lease_.on_write_failed(clock_());
+        });
+}
+
+void fleet_role::write_lease(const lease_write& write)
+{
+    http_request request =
+        write.base_revision == 0
+            ? platform_api::create_call(object_kind::coordinator_lease,
+                  lease_name, write.record.text())
+            : platform_api::replace_call(object_kind::coordinator_lease,
+                  lease_name, write.base_revision, write.record.text());
+    store_.call(std::move(request),
+        [this](store_outcome outcome, const std::string& body) {
+            const time_point now = clock_();
+            if (outcome == store_outcome::done) {
+                try {
+                    lease_.on_written(
+                        platform_api::decode_object(body).store_revision, now);
+                } catch (const error& failure) {
+                    log_event(log_level::warn, "lease reply is malformed",
+                        {{log_key::error, failure.what()}});
+                    lease_.on_write_failed(now);
+                }
+                return;
+            }
+            log_event(log_level::info, "lease write did not succeed",
+                {{"conflict", outcome == store_outcome::conflict}});
+            lease_.on_write_failed(now);
+            if (outcome == store_outcome::conflict)
+                read_lease();
+        });
+}
+
+void fleet_role::renew(time_point now)
+{
+    if (leaving_)
+        return;
+    // Calls for a lease of another process fail while the watch of it does.
+    if (!lease_.is_holder() && store_.lease_watch_fails())
+        return;
+    if (lease_.needs_read() && lease_.record() && !reading_ &&
+        lease_.may_retry(now)) {
+        read_lease();
+        return;
+    }
+    if (const auto write = lease_.due(now))
+        write_lease(*write);
+}
+
+// A coordinator that is cut off from the store does not know that its lease was
+// taken, and its grants would have to be waited out.
+void fleet_role::stop_predecessor()
+{
+    if (!lease_.predecessor())
+        return;
+    http_client_options options;
+    options.max_connections = 1;
+    options.connect_timeout = milliseconds(300);
+    predecessor_client_ =
+        std::make_unique<http_client>(lease_.predecessor()->address, options);
+    http_request request;
+    request.method = "POST";
+    request.target = stop_path;
+    request.body = json{{"run", lease_.predecessor()->run},
+        {"term", lease_.record()->term}}
+                       .dump();
+    predecessor_client_->send(std::move(request), stop_timeout,
+        [this, term = lease_.record()->term](const http_result& result) {
+            const time_point now = clock_();
+            const bool stopped =
+                result.response && result.response->status == 200;
+            log_event(log_level::info, "earlier coordinator was told to stop",
+                {{"term", term}, {"stopped", stopped},
+                    {log_key::error, result.message}});
+            if (!stopped || !duty_ || lease_.record()->term != term)
+                return;
+            lease_.on_predecessor_stopped(now);
+            duty_->on_predecessor_stopped(lease_.old_lease_end());
+        });
+}
+
+void fleet_role::on_stop(http_exchange& exchange)
+{
+    http_response response;
+    try {
+        const json document =
+            parse_json(exchange.request().body, error_kind::bad_peer_message);
+        const auto term = document.at("term").get<std::uint64_t>();
+        // Another run of this process has granted nothing.
+        if (document.at("run").get<std::uint64_t>() == self_.run)
+            lease_.on_superseded(term);
+        log_event(log_level::info, "another coordinator has the lease",
+            {{"term", term}});
+        tick(clock_());
+    } catch (const json::exception& failure) {
+        response.status = 400;
+        response.body = failure.what();
+    } catch (const error& failure) {
+        response.status = 400;
+        response.body = failure.what();
+    }
+    exchange.respond(std::move(response));
+}
+
+} // namespace filberthub
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -12,7 +12,6 @@
 
 // Terms are in the upper part of the version of a fact of the coordinator.
 constexpr unsigned term_shift = 32;
-constexpr const char* lease_name = "coordinator";
 // Changes that arrive together are passed on together.
 constexpr milliseconds flush_delay{3};
 constexpr milliseconds own_counts_interval{300};
@@ -89,8 +88,8 @@
     client_.on_heard([this](milliseconds age) {
         if (age < cut_off_age)
             lease_.on_coordinator_heard(clock_());
-        else
-            lease_.on_coordinator_cut_off();
+        else if (lease_.on_coordinator_cut_off())
+            read_lease();
     });
     // The watch of the lease that begins then reads it.
     client_.on_refused([this] { tick_soon(); });
@@ -123,28 +122,6 @@
         known_.learn(item, now);
 }
 
-void fleet_role::on_lease_facts(const watch_news& news)
-{
-    const std::string key =
-        platform_api::fact_key(object_kind::coordinator_lease, lease_name);
-    bool found = false;
-    for (const fact& item : news.facts) {
-        if (item.key != key || !item.value)
-            continue;
-        found = true;
-        try {
-            lease_.on_read(lease_record::from_text(*item.value),
-                platform_api::store_revision_of(item.version), clock_());
-        } catch (const error& failure) {
-            log_event(log_level::warn, "coordinator lease is malformed",
-                {{log_key::error, failure.what()}});
-        }
-    }
-    if (news.complete && !found)
-        lease_.on_read(std::nullopt, 0, clock_());
-    tick_soon();
-}
-
 // The next regular tick may be too late for news that have to be in force in
 // time.
 void fleet_role::tick_soon()
@@ -158,83 +135,6 @@
     });
 }
 
-void fleet_role::take_object(const std::string& body)
-{
-    try {
-        const auto object = platform_api::decode_object(body);
-        lease_.on_read(lease_record::from_text(object.content),
-            object.store_revision, clock_());
-    } catch (const error& failure) {
-        log_event(log_level::warn, "coordinator lease is malformed",
-            {{log_key::error, failure.what()}});
-        lease_.on_write_failed(clock_());
-    }
-}
-
-void fleet_role::read_lease()
-{
-    if (reading_)
-        return;
-    reading_ = true;
-    store_.call(
-        platform_api::read_call(object_kind::coordinator_lease, lease_name),
-        [this](store_outcome outcome, const std::string& body) {
-            reading_ = false;
-            if (outcome == store_outcome::done)
-                take_object(body);
-            else if (outcome == store_outcome::not_found)
-                lease_.on_read(std::nullopt, 0, clock_());
-            else
-                lease_.on_write_failed(clock_());
-        });
-}
-
-void fleet_role::write_lease(const lease_write& write)
-{
-    http_request request =
-        write.base_revision == 0
-            ? platform_api::create_call(object_kind::coordinator_lease,
-                  lease_name, write.record.text())
-            : platform_api::replace_call(object_kind::coordinator_lease,
-                  lease_name, write.base_revision, write.record.text());
-    store_.call(std::move(request),
-        [this](store_outcome outcome, const std::string& body) {
-            const time_point now = clock_();
-            if (outcome == store_outcome::done) {
-                try {
-                    lease_.on_written(
-                        platform_api::decode_object(body).store_revision, now);
-                } catch (const error& failure) {
-                    log_event(log_level::warn, "lease reply is malformed",
-                        {{log_key::error, failure.what()}});
-                    lease_.on_write_failed(now);
-                }
-                return;
-            }
-            log_event(log_level::info, "lease write did not succeed",
-                {{"conflict", outcome == store_outcome::conflict}});
-            lease_.on_write_failed(now);
-            if (outcome == store_outcome::conflict)
-                read_lease();
-        });
-}
-
-void fleet_role::renew(time_point now)
-{
-    if (leaving_)
-        return;
-    // Calls for a lease of another process fail while the watch of it does.
-    if (!lease_.is_holder() && store_.lease_watch_fails())
-        return;
-    if (lease_.needs_read() && lease_.record() && !reading_ &&
-        lease_.may_retry(now)) {
-        read_lease();
-        return;
-    }
-    if (const auto write = lease_.due(now))
-        write_lease(*write);
-}
-
 void fleet_role::tick(time_point now)
 {
     renew(now);
@@ -264,6 +164,7 @@
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         duty_ = std::make_unique<coordinator_duty>(
             own_, known_, store_, term, lease_.old_lease_end(), clock_);
+        stop_predecessor();
     }
     if (now >= next_counts_) {
         next_counts_ = now + own_counts_interval;
@@ -328,6 +229,10 @@
 void fleet_role::on_poll(std::shared_ptr<http_exchange> exchange)
 {
     const time_point now = clock_();
+    if (exchange->request().target == stop_path) {
+        on_stop(*exchange);
+        return;
+    }
     if (!lease_.holds(now) || leaving_) {
         http_response response;
         response.status = 409;
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -51,6 +51,8 @@
     void take_object(const std::string& body);
     milliseconds store_age(time_point now) const;
     void publish_members(time_point now);
+    void stop_predecessor();
+    void on_stop(http_exchange& exchange);
 
     const route_settings& own_;
     beliefs& known_;
@@ -61,6 +63,8 @@
     store_session store_;
     feed_server server_;
     feed_client client_;
+    // To the coordinator that this process took the lease from.
+    std::unique_ptr<http_client> predecessor_client_;
     std::unique_ptr<coordinator_duty> duty_;
     bool reading_ = false;
     bool leaving_ = false;
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -76,11 +76,13 @@
     read_due_ = false;
 }
 
-void coordinator_lease::on_coordinator_cut_off()
+bool coordinator_lease::on_coordinator_cut_off()
 {
-    if (!cut_off_)
-        read_due_ = true;
+    if (cut_off_)
+        return false;
     cut_off_ = true;
+    read_due_ = true;
+    return true;
 }
 
 bool coordinator_lease::is_holder() const
@@ -91,7 +93,8 @@
 
 bool coordinator_lease::holds(time_point now) const
 {
-    return is_holder() && confirmed_ && now < *confirmed_ + options_.duration;
+    return is_holder() && record_->term >= superseded_by_ && confirmed_ &&
+           now < *confirmed_ + options_.duration;
 }
 
 std::optional<lease_write> coordinator_lease::due(time_point now)
@@ -118,10 +121,12 @@
         next.term = record_ ? record_->term + 1 : 1;
         // A holder that left or started again grants no more, but one that was
         // replaced before it may not know it yet.
-        if (own_name || (record_ && record_->holder.empty()))
-            old_lease_end_ = record_seen_ + record_->others_grant;
-        else
-            old_lease_end_ = now + options_.duration;
+        older_lease_end_ =
+            record_ ? record_seen_ + record_->others_grant : time_point{};
+        const bool stopped = own_name || vacant;
+        predecessor_ = stopped ? std::nullopt : record_;
+        old_lease_end_ =
+            stopped && record_ ? older_lease_end_ : now + options_.duration;
     }
     next.others_grant = std::max(
         milliseconds(0), std::chrono::ceil<milliseconds>(old_lease_end_ - now));
@@ -131,6 +136,18 @@
     return lease_write{revision_, next};
 }
 
+void coordinator_lease::on_predecessor_stopped(time_point now)
+{
+    predecessor_.reset();
+    old_lease_end_ = std::min(old_lease_end_, std::max(now, older_lease_end_));
+}
+
+void coordinator_lease::on_superseded(std::uint64_t term)
+{
+    superseded_by_ = std::max(superseded_by_, term);
+    needs_read_ = true;
+}
+
 std::optional<lease_write> coordinator_lease::leave()
 {
     if (!is_holder())
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -1,5 +1,6 @@
 #include <filberthub/routing/key_coordinator.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace filberthub {
@@ -36,6 +37,12 @@
     active_ = false;
 }
 
+void key_coordinator::shorten_old_holds(time_point old_holds_end)
+{
+    old_holds_end_ = std::min(old_holds_end_, old_holds_end);
+    granter_.shorten_old_holds(old_holds_end);
+}
+
 void key_coordinator::on_requests(key_number key, double count)
 {
     if (key < key_count)
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -44,6 +44,22 @@
     }
 }
 
+// Own grants were sent before `old_holds_end` was known, so they end before it.
+void key_granter::shorten_old_holds(time_point old_holds_end)
+{
+    const auto shorten = [old_holds_end](time_point& end) {
+        end = std::min(end, old_holds_end);
+    };
+    for (auto& [token, item] : states_) {
+        shorten(item.hold_until);
+        shorten(item.unclear_until);
+        for (blocker& block : item.blockers) {
+            shorten(block.hold_until);
+            shorten(block.unclear_until);
+        }
+    }
+}
+
 void key_granter::inherit(state& next, const state& old)
 {
     const key_number first = std::max(next.range.first, old.range.first);
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -76,7 +76,8 @@
     coordinator_lease lease = lease_of("b", 2);
     lease.on_read(record_of("a", 1), 4, at_ms(0));
     lease.on_coordinator_heard(at_ms(9'000));
-    lease.on_coordinator_cut_off();
+    EXPECT_TRUE(lease.on_coordinator_cut_off());
+    EXPECT_FALSE(lease.on_coordinator_cut_off());
     // The lease may have been renewed since it was read last.
     EXPECT_FALSE(lease.due(at_ms(12'000)).has_value());
     lease.on_read(record_of("a", 1), 9, at_ms(12'000));
@@ -169,6 +170,47 @@
     EXPECT_GE(restarted.old_lease_end(), at_ms(10'000));
 }
 
+// Guards against keys that wait out the lease of a coordinator that was
+// replaced and has confirmed that it stopped.
+TEST(a_lease, OfAHolderThatStoppedEndsAtOnce)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease_record other = record_of("a", 1);
+    lease.on_read(other, 4, at_ms(0));
+    lease.due(at_ms(2'000));
+    lease.on_written(5, at_ms(2'005));
+    ASSERT_TRUE(lease.predecessor().has_value());
+    lease.on_predecessor_stopped(at_ms(2'020));
+    EXPECT_EQ(lease.old_lease_end(), at_ms(2'020));
+
+    // Not that of those before it.
+    coordinator_lease third = lease_of("c", 3);
+    other.others_grant = milliseconds(5'000);
+    third.on_read(other, 4, at_ms(0));
+    third.due(at_ms(2'000));
+    third.on_written(5, at_ms(2'005));
+    third.on_predecessor_stopped(at_ms(2'020));
+    EXPECT_EQ(third.old_lease_end(), at_ms(5'000));
+}
+
+// Guards against a holder that goes on granting after it has confirmed that it
+// stopped, because the answer to an earlier renewal came late.
+TEST(a_lease, IsNotResumedAfterAnotherTookIt)
+{
+    coordinator_lease lease = lease_of("a", 1);
+    lease.on_read(std::nullopt, 0, at_ms(0));
+    lease.due(at_ms(0));
+    lease.on_written(4, at_ms(5));
+    const auto renewal = lease.due(at_ms(600));
+    ASSERT_TRUE(renewal.has_value());
+    lease.on_superseded(2);
+    EXPECT_FALSE(lease.holds(at_ms(700)));
+    lease.on_written(5, at_ms(800));
+    EXPECT_FALSE(lease.holds(at_ms(800)));
+    lease.on_read(renewal->record, 5, at_ms(900));
+    EXPECT_FALSE(lease.holds(at_ms(900)));
+}
+
 TEST(a_lease, IgnoresAnOlderCopy)
 {
     coordinator_lease lease = lease_of("b", 2);
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -187,6 +187,26 @@
     EXPECT_THAT(granter.due(at_ms(12'000)), SizeIs(1));
 }
 
+// Guards against keys of a lost server that wait out the lease of a coordinator
+// that has stopped.
+TEST(a_new_coordinator, WaitsLessForAnOldOneThatStopped)
+{
+    key_granter granter{key_granter_options{}};
+    granter.take_over(moved_table(), at_ms(12'000), at_ms(0));
+    for (const grant_order& order : granter.due(at_ms(0)))
+        granter.on_reply(order.number, grant_reply::unsent, "", at_ms(1));
+    granter.shorten_old_holds(at_ms(3'300));
+    for (std::int64_t ms = 300; ms < 3'300; ms += 300) {
+        for (const grant_order& order : granter.due(at_ms(ms))) {
+            EXPECT_TRUE(order.release) << "at " << ms << " ms";
+            granter.on_reply(order.number, grant_reply::unsent, "", at_ms(ms));
+        }
+    }
+    const auto orders = granter.due(at_ms(3'300));
+    ASSERT_THAT(orders, SizeIs(1));
+    EXPECT_FALSE(orders[0].release);
+}
+
 TEST(a_new_coordinator, GivesEveryRangeAHigherTokenFirst)
 {
     key_coordinator keys{key_granter_options{}, key_plan_options{}};
--- a/test/routing/key_planner_test.cpp
+++ b/test/routing/key_planner_test.cpp
@@ -113,7 +113,7 @@
         }
         expect_complete(table);
         most = std::max(most, table.ranges.size());
-std::printf("%zu ", table.ranges.size());
+        std::printf("%zu ", table.ranges.size());
     }
     EXPECT_LE(most, 4 * list.size());
 }
