Keep the slot of a broken-off request while its server is unknown

The new gate admitted one request, whose caller's time was over after 117 ms; it freed the slot and admitted the next, while the server went on with the first for 83 ms.

While the limit of a server is not known, a request that was cancelled or timed out keeps its slot for the expected time, and at least as long again as it ran.

Ruled out: the ramp (the limit was 1 all the time).

Tests: ServerGate.KeepsTheSlotOfABrokenOffRequestWhileTheServerIsUnknown and KeepsTheSlotAsLongAgainAsTheBrokenOffRequestRan; both failed before.

--- a/include/filberthub/admission/server_gate.hpp
+++ b/include/filberthub/admission/server_gate.hpp
@@ -109,6 +109,14 @@
         *found = running_.back();
         running_.pop_back();
         learn(done, result, in_flight, now);
+        const bool broken_off = result == answer_result::cancelled ||
+                                result == answer_result::timed_out;
+        // A new gate does not know the usual time: the work may take as long
+        // again as it has taken.
+        if (broken_off && ramping(now)) {
+            lingering_.push_back(std::max(
+                done.start + times_.needed(), now + (now - done.start)));
+        }
         gate_changes changes;
         admit_waiting(changes, now);
         return changes;
@@ -119,6 +127,7 @@
     gate_changes expire(time_point now)
     {
         gate_changes changes;
+        std::erase_if(lingering_, [now](time_point end) { return end <= now; });
         for (const auto& request : queue_.remove_due(now + times_.needed()))
             changes.refused.push_back(
                 {request.number, error_kind::deadline_exceeded_not_run});
@@ -234,7 +243,10 @@
 
     bool may_start(priority level, time_point now) const
     {
-        return running_.size() < limit_for(level, now);
+        const auto lingering = std::count_if(lingering_.begin(),
+            lingering_.end(), [now](time_point end) { return end > now; });
+        return running_.size() + static_cast<std::size_t>(lingering) <
+               limit_for(level, now);
     }
 
     void start(const gate_request& request, time_point now)
@@ -313,6 +325,9 @@
     service_time times_;
     waiting_queue queue_;
     std::vector<running_request> running_;
+    // Until when a server whose limit is not known may still work on requests
+    // that were broken off: not each server notices that at once.
+    std::vector<time_point> lingering_;
     time_point unknown_since_;
     std::optional<time_point> last_rescue_;
     bool draining_ = false;
--- a/test/admission/server_gate_test.cpp
+++ b/test/admission/server_gate_test.cpp
@@ -155,6 +155,34 @@
     EXPECT_EQ(ramp.limit(2, {}), 2U) << "the last ramp had been right";
 }
 
+// Guards against a cold server that is overloaded because it still works on a
+// request whose caller has left.
+TEST(ServerGate, KeepsTheSlotOfABrokenOffRequestWhileTheServerIsUnknown)
+{
+    for (const answer_result result :
+        {answer_result::cancelled, answer_result::timed_out}) {
+        auto gate = gate_with<server_gate>(2);
+        gate.offer(request(1), {});
+        EXPECT_EQ(gate.offer(request(2), {}).decision, verdict::wait);
+        const auto changes =
+            gate.finish(request_number(1), result, time_point(5ms));
+        EXPECT_TRUE(changes.admitted.empty());
+        EXPECT_TRUE(gate.expire(time_point(10ms)).admitted.empty());
+        EXPECT_EQ(gate.expire(time_point(40ms)).admitted.size(), 1U);
+    }
+}
+
+// The same at a gate that has no measured time, as after a change of holder.
+TEST(ServerGate, KeepsTheSlotAsLongAgainAsTheBrokenOffRequestRan)
+{
+    auto gate = gate_with<server_gate>(2);
+    gate.offer(request(1), {});
+    gate.offer(request(2), {});
+    gate.finish(request_number(1), answer_result::timed_out, time_point(117ms));
+    EXPECT_TRUE(gate.expire(time_point(200ms)).admitted.empty());
+    EXPECT_EQ(gate.expire(time_point(234ms)).admitted.size(), 1U);
+}
+
 // Guards against a limit that stays at one because a service with a long tail
 // has many slow answers.
 TEST(ServerGate, UsesAllSlotsOfAServiceWithALongTail)
