--- a/src/app/check.cpp
+++ b/src/app/check.cpp
@@ -2,6 +2,7 @@
 
 #include <filberthub/policy/policy_document.hpp>
 #include <filberthub/policy/settings.hpp>
+#include <filberthub/router/route_settings.hpp>
 
 #include <filesystem>
 #include <iostream>
@@ -16,6 +17,8 @@
         ' ', program_version);
     const TCLAP::ValueArg<std::string> settings_path(
         "s", "settings", "Settings file", false, "", "FILE", line);
+    const TCLAP::ValueArg<std::string> route_path("r", "route-settings",
+        "Settings file of `route`", false, "", "FILE", line);
     const TCLAP::UnlabeledMultiArg<std::string> section_paths(
         "sections", "Section files", false, "FILE", line);
     parse(line, "check", args);
@@ -34,6 +37,10 @@
         const std::string text = read_file(settings_path.getValue());
         report(settings_path.getValue(), [&] { settings::from_text(text); });
     }
+    if (route_path.isSet()) {
+        const std::string text = read_file(route_path.getValue());
+        report(route_path.getValue(), [&] { route_settings::from_text(text); });
+    }
     std::map<section_id, json> sections;
     for (const std::string& path : section_paths.getValue()) {
         const std::string text = read_file(path);
--- a/src/app/status.cpp
+++ b/src/app/status.cpp
@@ -34,12 +34,32 @@
     }
 }
 
+void print_route_status(const json& status)
+{
+    for (const char* field : {"instance", "ready", "revision", "fleet_size",
+             "coordinator", "coordinates", "follows"})
+        std::cout << field << ": " << text_of(status.at(field)) << '\n';
+    std::cout << "servers:\n";
+    for (const json& server : status.at("servers")) {
+        std::cout << "  " << text_of(server.at("id")) << " of "
+                  << text_of(server.at("service")) << " in "
+                  << text_of(server.at("failure_domain")) << " at "
+                  << text_of(server.at("address")) << " in flight "
+                  << server.at("in_flight") << " expected ms "
+                  << server.at("expected_ms")
+                  << (server.at("cold").get<bool>() ? " COLD" : "")
+                  << (server.at("usable").get<bool>() ? "" : " LEAVING")
+                  << '\n';
+    }
+}
+
 } // namespace
 
 exit_code status_command(const arguments& args)
 {
     TCLAP::CmdLine line("Shows the revisions that an instance has in force, "
-                        "the servers it holds and the members it knows.",
+                        "the servers it holds and the members it knows; of "
+                        "`route`, its configuration, coordinator and servers.",
         ' ', program_version);
     const TCLAP::ValueArg<std::string> address("o", "operator",
         "Operator address of the instance", true, "", "IP:PORT", line);
@@ -48,12 +68,21 @@
 
     http_request request;
     request.target = "/v1/status";
-    const auto response =
-        call_operator(endpoint_from_string(address.getValue()), request);
+    const endpoint target = endpoint_from_string(address.getValue());
+    auto response = call_operator(target, request);
+    bool routes = false;
+    if (response && response->status == 404) {
+        // `route` has a page of its own.
+        routes = true;
+        request.target = "/status";
+        response = call_operator(target, request);
+    }
     if (!response || response->status != 200)
         return exit_code::unavailable;
     if (as_json.getValue())
         std::cout << response->body << '\n';
+    else if (routes)
+        print_route_status(parse_json(response->body, error_kind::internal));
     else
         print_status(parse_json(response->body, error_kind::internal));
     return exit_code::ok;
