Count the leaving of a server from when it may have begun

The store turned the coordinator away just before servers began to leave. Its followers heard of that 1.6 s later, from the next coordinator, and sent keyed requests to the leaving owners for 1.2 s more.

What is learned after a time without news counts from the last time at which the view was complete. The coordinator tells the age of its view as well as that of its last contact with the store: a new one has contact before it has read the deployment.

Ruled out: a shorter time for all leaving owners, which would refuse requests of each planned move.

Test: a_pool.CountsTheMomentFromWhenTheOwnerMayHaveBegunToLeave.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -109,6 +109,8 @@
     void put(const server_entry& entry, double cold_rate, double draw,
         time_point now);
     void remove(const backend_server_id& id);
+    // A server that is not usable may have begun to leave at this time already.
+    void date_back(const backend_server_id& id, time_point since);
     // Makes a server cold from now on, for example after an evacuation.
     void make_cold(const backend_server_id& id, milliseconds time, double draw,
         time_point now);
--- a/src/router/beliefs.cpp
+++ b/src/router/beliefs.cpp
@@ -151,6 +151,10 @@
         const service_rule* rule =
             routes_ ? routes_->service(entry.service) : nullptr;
         servers_.put(entry, rule ? rule->cold_rate : 0, draw(), now);
+        // A server leaves some time after it says so, however late that was
+        // heard.
+        if (missing_since_)
+            servers_.date_back(id, *missing_since_);
     } catch (const error& failure) {
         log_event(log_level::warn, "server entry is not valid",
             {{log_key::server, name}, {log_key::error, failure.what()}});
@@ -236,6 +240,11 @@
     doubt_until_ = until;
 }
 
+void beliefs::set_missing_since(std::optional<time_point> since)
+{
+    missing_since_ = since;
+}
+
 void beliefs::settle(time_point now)
 {
     bool settled = false;
--- a/src/router/beliefs.hpp
+++ b/src/router/beliefs.hpp
@@ -50,6 +50,8 @@
     // Removals of servers are doubtful until then, because the store was away
     // and entries lapsed meanwhile.
     void doubt_removals_until(time_point until);
+    // What is learned until the next call may have happened since this time.
+    void set_missing_since(std::optional<time_point> since);
     // Applies doubtful removals whose time has come.
     void settle(time_point now);
 
@@ -126,6 +128,7 @@
     std::map<backend_server_id, server_entry> entries_;
     std::map<backend_server_id, time_point> doubtful_;
     time_point doubt_until_;
+    std::optional<time_point> missing_since_;
     std::set<failure_domain_id> evacuated_;
     std::map<service_id, std::vector<served_range>> served_;
     std::vector<fleet_member> members_;
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -71,7 +71,7 @@
 }
 
 void feed_server::on_poll(std::shared_ptr<http_exchange> exchange,
-    std::uint64_t run, milliseconds age, time_point now)
+    std::uint64_t run, feed_age age, time_point now)
 {
     try {
         const json document =
@@ -106,21 +106,22 @@
     }
 }
 
-void feed_server::answer(poll& item, std::uint64_t run, milliseconds age)
+void feed_server::answer(poll& item, std::uint64_t run, feed_age age)
 {
     json facts = json::array();
     for (const fact& news : known_.facts().changes_after(item.after)) {
         facts.push_back({news.key, news.version.value(),
             news.value ? json(*news.value) : json(nullptr)});
     }
-    item.exchange->respond(
-        plain(200, json{{"run", run}, {"change", known_.facts().last_change()},
-                       {"facts", facts}, {"fleet", known_.fleet_size()},
-                       {"hold_ms", hold().count()}, {"age_ms", age.count()}}
-                       .dump(-1, ' ', false, json::error_handler_t::replace)));
+    item.exchange->respond(plain(200,
+        json{{"run", run}, {"change", known_.facts().last_change()},
+            {"facts", facts}, {"fleet", known_.fleet_size()},
+            {"hold_ms", hold().count()}, {"store_age_ms", age.store.count()},
+            {"view_age_ms", age.view.count()}}
+            .dump(-1, ' ', false, json::error_handler_t::replace)));
 }
 
-void feed_server::flush(std::uint64_t run, milliseconds age, time_point now)
+void feed_server::flush(std::uint64_t run, feed_age age, time_point now)
 {
     std::vector<poll> waiting;
     waiting.swap(polls_);
@@ -247,6 +248,8 @@
 {
     const json document = json::parse(body);
     const auto run = document.at("run").get<std::uint64_t>();
+    if (!fresh(now))
+        known_.set_missing_since(complete_until_);
     for (const json& row : document.at("facts")) {
         fact item;
         item.key = row.at(0).get<std::string>();
@@ -255,13 +258,15 @@
             item.value = row.at(2).get<std::string>();
         known_.learn(item, now);
     }
+    known_.set_missing_since(std::nullopt);
     run_ = run;
     after_ = document.at("change").get<std::uint64_t>();
     known_.set_fleet_size(document.at("fleet").get<std::size_t>(), now);
     hold_ = milliseconds(document.at("hold_ms").get<std::int64_t>());
-    const milliseconds age(document.at("age_ms").get<std::int64_t>());
-    confirmed_ = now - age;
-    return age;
+    confirmed_ =
+        now - milliseconds(document.at("view_age_ms").get<std::int64_t>());
+    complete_until_ = std::max(complete_until_, *confirmed_);
+    return milliseconds(document.at("store_age_ms").get<std::int64_t>());
 }
 
 } // namespace filberthub
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -33,18 +33,26 @@
 };
 
 // The coordinator's side.
+// How old the coordinator's view is.
+struct feed_age
+{
+    // Since the store answered any call.
+    milliseconds store{0};
+    // Since all changes of the deployment were seen.
+    milliseconds view{0};
+};
+
 class feed_server
 {
 public:
     feed_server(beliefs& known,
         std::function<void(const instance_id&, const load_counts&)> report);
 
-    // Takes a poll. `run` identifies this coordinator's start, and `age` is
-    // the time since its last contact with the store.
+    // Takes a poll. `run` identifies this coordinator's start.
     void on_poll(std::shared_ptr<http_exchange> exchange, std::uint64_t run,
-        milliseconds age, time_point now);
+        feed_age age, time_point now);
     // Answers the polls that have news or have waited long enough.
-    void flush(std::uint64_t run, milliseconds age, time_point now);
+    void flush(std::uint64_t run, feed_age age, time_point now);
     // Refuses all polls, because this process coordinates no longer.
     void refuse_all();
     // Instances that polled lately, with this one.
@@ -60,7 +68,7 @@
         time_point until;
     };
 
-    void answer(poll& item, std::uint64_t run, milliseconds age);
+    void answer(poll& item, std::uint64_t run, feed_age age);
     milliseconds hold() const;
 
     beliefs& known_;
@@ -96,6 +104,12 @@
     // Whether the coordinator's news are as fresh as own ones would be.
     bool fresh(time_point now) const;
 
+    // Time until which all news have come from a coordinator.
+    time_point complete_until() const
+    {
+        return complete_until_;
+    }
+
     // Called at each answer, with the time since the store answered the
     // coordinator.
     void on_heard(std::function<void(milliseconds)> callback)
@@ -130,6 +144,8 @@
     milliseconds hold_{400};
     // The coordinator had been in contact with the store at this time.
     std::optional<time_point> confirmed_;
+    // The last value of it.
+    time_point complete_until_;
 };
 
 } // namespace filberthub
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds alone_grace{250};
 // A watch of the lease that works is answered at least this often.
 constexpr milliseconds reachable_age{3'800};
+// For what was never heard.
+constexpr milliseconds unknown_age{60'000};
 // A coordinator that reaches the store renews its lease more often than this,
 // also while the store is slow.
 constexpr milliseconds cut_off_age{1'500};
@@ -83,7 +85,7 @@
     QObject::connect(&flush_timer_, &QTimer::timeout, [this] {
         const time_point now = clock_();
         if (lease_.holds(now))
-            server_.flush(self_.run, store_age(now), now);
+            server_.flush(self_.run, age_of_news(now), now);
     });
     client_.on_heard([this](milliseconds age) {
         if (age < cut_off_age)
@@ -99,11 +101,23 @@
 milliseconds fleet_role::store_age(time_point now) const
 {
     if (!store_.last_contact())
-        return milliseconds(60'000);
+        return unknown_age;
     return std::chrono::duration_cast<milliseconds>(
         now - *store_.last_contact());
 }
 
+// A coordinator that has just begun knows what the one before told it.
+feed_age fleet_role::age_of_news(time_point now) const
+{
+    const time_point complete =
+        std::max(store_.complete_until(now), client_.complete_until());
+    const milliseconds view =
+        complete == time_point{}
+            ? unknown_age
+            : std::chrono::duration_cast<milliseconds>(now - complete);
+    return {store_age(now), std::min(view, unknown_age)};
+}
+
 void fleet_role::on_watch(const watch_news& news)
 {
     const time_point now = clock_();
@@ -113,6 +127,16 @@
     }
     if (news.after_outage)
         known_.doubt_removals_until(now + doubt_after_outage);
+    if (news.missing_since) {
+        known_.set_missing_since(
+            std::max(*news.missing_since, client_.complete_until()));
+    }
+    learn(news, now);
+    known_.set_missing_since(std::nullopt);
+}
+
+void fleet_role::learn(const watch_news& news, time_point now)
+{
     if (news.complete) {
         known_.learn_list(news.kind, news.facts,
             platform_api::version_without(news.store_revision), now);
@@ -173,7 +197,7 @@
         publish_members(now);
     }
     duty_->work(now);
-    server_.flush(self_.run, store_age(now), now);
+    server_.flush(self_.run, age_of_news(now), now);
 }
 
 void fleet_role::publish_members(time_point now)
@@ -240,7 +264,7 @@
         exchange->respond(std::move(response));
         return;
     }
-    server_.on_poll(std::move(exchange), self_.run, store_age(now), now);
+    server_.on_poll(std::move(exchange), self_.run, age_of_news(now), now);
 }
 
 void fleet_role::on_news()
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -41,6 +41,7 @@
 
 private:
     void on_watch(const watch_news& news);
+    void learn(const watch_news& news, time_point now);
     void on_lease_facts(const watch_news& news);
     void coordinate(time_point now);
     void follow(time_point now);
@@ -50,6 +51,7 @@
     void read_lease();
     void take_object(const std::string& body);
     milliseconds store_age(time_point now) const;
+    feed_age age_of_news(time_point now) const;
     void publish_members(time_point now);
     void stop_predecessor();
     void on_stop(http_exchange& exchange);
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -190,8 +190,15 @@
       calls_client_(address, client_options(call_connections)),
       watch_client_(address, client_options(watch_connections))
 {
-    const auto noted = [this, news](const watch_news& item) {
-        last_contact_ = clock_();
+    const auto noted = [this, news](watch_news item) {
+        const time_point now = clock_();
+        last_contact_ = now;
+        const auto [reply, is_new] =
+            last_replies_.try_emplace(item.kind, time_point{});
+        // A list is read when a watch begins or its history is gone.
+        if (item.complete || item.after_outage)
+            item.missing_since = reply->second;
+        reply->second = now;
         news(item);
     };
     for (const object_kind kind : {object_kind::configuration,
@@ -221,6 +228,19 @@
     lease_->set_pace({milliseconds(0), pace.longest_retry});
 }
 
+time_point store_session::complete_until(time_point now) const
+{
+    time_point result = last_contact_.value_or(time_point{});
+    for (const std::unique_ptr<store_watch>& watch : deployment_) {
+        if (watch->current())
+            continue;
+        const auto reply = last_replies_.find(watch->kind());
+        result = std::min(result,
+            reply == last_replies_.end() ? time_point{} : reply->second);
+    }
+    return std::min(result, now);
+}
+
 void store_session::watch_lease(bool wanted)
 {
     if (wanted)
--- a/src/router/store_session.hpp
+++ b/src/router/store_session.hpp
@@ -26,6 +26,8 @@
     std::uint64_t store_revision = 0;
     // Whether calls of this watch failed just before.
     bool after_outage = false;
+    // Present if changes since then may have been missed until now.
+    std::optional<time_point> missing_since;
 };
 
 // Reads a kind of objects once and then waits for changes. If the history that
@@ -51,6 +53,15 @@
     {
         return started_;
     }
+    // Whether changes arrive as they happen.
+    bool current() const
+    {
+        return started_ && (absent_ || (revision_ && failures_ == 0));
+    }
+    platform_api::object_kind kind() const
+    {
+        return kind_;
+    }
     // Whether the store did not answer the last call.
     bool fails() const
     {
@@ -109,6 +120,9 @@
     // Makes one call. `callback` gets `unknown` if there was no answer.
     void call(http_request request, store_reply_callback callback);
 
+    // The time until which all changes of the deployment were seen.
+    time_point complete_until(time_point now) const;
+
     // When the last call that the store answered was sent.
     std::optional<time_point> last_contact() const
     {
@@ -123,6 +137,8 @@
     std::vector<std::unique_ptr<store_watch>> deployment_;
     std::unique_ptr<store_watch> lease_;
     std::optional<time_point> last_contact_;
+    // Last reply to the watch of each kind.
+    std::map<platform_api::object_kind, time_point> last_replies_;
 };
 
 } // namespace filberthub
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -91,6 +91,13 @@
     times_.forget(id);
 }
 
+void server_pool::date_back(const backend_server_id& id, time_point since)
+{
+    observed_server* server = find_mutable(id);
+    if (server != nullptr && server->unusable_since)
+        server->unusable_since = std::min(*server->unusable_since, since);
+}
+
 void server_pool::set_evacuated(
     const failure_domain_id& domain, bool evacuated, time_point now)
 {
--- a/test/routing/routing_test.cpp
+++ b/test/routing/routing_test.cpp
@@ -180,6 +180,19 @@
     EXPECT_FALSE(pool.may_send_keyed(*server, at_ms(1'400)));
 }
 
+// Guards against the same where the leaving was heard late.
+TEST(a_pool, CountsTheMomentFromWhenTheOwnerMayHaveBegunToLeave)
+{
+    server_pool pool(failure_domain_id("a"), {1.5, 5});
+    pool.put(server_builder("s1").build(), 11, 0, at_ms(0));
+    pool.date_back(backend_server_id("s1"), at_ms(0));
+    const observed_server* server = pool.find(backend_server_id("s1"));
+    EXPECT_TRUE(pool.may_send_keyed(*server, at_ms(1'600)));
+    pool.put(server_builder("s1").draining().build(), 11, 0, at_ms(1'600));
+    pool.date_back(backend_server_id("s1"), at_ms(0));
+    EXPECT_FALSE(pool.may_send_keyed(*server, at_ms(1'600)));
+}
+
 TEST(a_pool, ForgetsTheLoadOfAnEarlierLife)
 {
     server_pool pool(failure_domain_id("a"), {1.5, 5});
