--- a/scripts/prove/main.py
+++ b/scripts/prove/main.py
@@ -1,6 +1,7 @@
 """Runs proofs: main.py [NAME...] [--seed S] [--short]. See docs/PROOFS.md."""
 
 import argparse
+import fcntl
 import pathlib
 import re
 import shutil
@@ -18,6 +19,7 @@
 import platform_faults  # noqa: F401
 import edit_faults  # noqa: F401
 
+LOCK = pathlib.Path(tempfile.gettempdir()) / "filberthub-prove.lock"
 KNOWN_RED = processes.ROOT / "KNOWN-RED.txt"
 
 
@@ -72,6 +74,13 @@
     chosen = options.names or [
         name for name in names if not options.short or name in core.PROOFS
         or scenario.SCENARIOS[name][1]]
+    # The processes of two runs would use the same addresses.
+    lock = open(LOCK, "w", encoding="utf-8")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        print(f"another run of proofs holds {LOCK}", file=sys.stderr)
+        return 2
     red = known_red()
     failed = False
     for name in chosen:
--- /dev/null
+++ b/scripts/soak/deployment.py
@@ -0,0 +1,247 @@
+"""One run: store, servers and proxies in this process, routers beside it."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import time
+
+import callers
+import proxy
+import servers
+import store
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BINARY = ROOT / "build" / "dev" / "filberthub"
+ZONES = ["se-mitt-a", "se-mitt-b", "se-mitt-c"]
+# Services with number of servers, whether they are keyed, and work in seconds.
+SERVICES = {"kartlas": (6, True, 0.03), "kartskriv": (4, False, 0.04),
+            "skanintag": (3, False, 0.04), "raddning": (3, False, 0.012)}
+BOUNDS = {"DrainMs": 2000, "GraceS": 6, "HoldMaxMs": 10000,
+          "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "RetryAllowance": 40,
+          "WarmupFactor": 1.5, "WarmupTolerance": 5}
+# Limits are generous because other builds may load the machine.
+START_LIMIT = 30.0
+
+
+class Journal:
+    """What callers and servers saw, in order."""
+
+    def __init__(self, now):
+        self._now = now
+        self.events = []
+
+    def note(self, what, **fields):
+        self.events.append({"what": what, "at": self._now(), **fields})
+
+
+class Router:
+    def __init__(self, run, number):
+        self.run = run
+        self.number = number
+        self.name = f"router-{number}"
+        host = f"{run.network}.{number + 10}"
+        self.host = host
+        self.callers = (host, 8080)
+        self.readiness = (host, 8081)
+        self.settings = run.folder / f"{self.name}.json"
+        self.settings.write_text(json.dumps({
+            "instance": self.name, "failure_domain": ZONES[number % 3],
+            "first_start": False, "callers": f"{host}:8080",
+            "readiness": f"{host}:8081", "address": host, "peer_port": 8082,
+            "operator_port": 8083, "store": f"{host}:8084",
+            "processor_share": 0.14, "server_heartbeat_ms": 870,
+            "bounds": BOUNDS, "log": {"output": "stdout", "level": "info"}}))
+        self.process = None
+        self.runs = 0
+        self.misses = 0
+        self.paused = False
+        self.leaving = False
+        # Whether it was killed on purpose and not started again yet.
+        self.ending = False
+        # The store of this router, behind a proxy that can cut it.
+        self.store_proxy = proxy.Proxy((host, 8085))
+
+    @property
+    def run_name(self):
+        return f"{self.name}#{self.runs}"
+
+    async def listen(self):
+        await self.run.store.listen(self.host, 8085, self.name)
+        await self.store_proxy.listen(self.host, 8084)
+
+    def start(self):
+        # Another fault may have started it again.
+        if self.running():
+            return
+        self.runs += 1
+        self.paused = self.leaving = self.ending = False
+        with open(self.run.folder / f"{self.name}.log", "ab") as log:
+            self.process = subprocess.Popen(
+                [str(self.run.program), "route", "--settings", str(self.settings)],
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log, cwd=ROOT)
+        self.run.journal.note("router started", router=self.run_name)
+
+    def running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            self.process.send_signal(number)
+
+    def pause(self, paused):
+        self.paused = paused
+        self.signal(signal.SIGSTOP if paused else signal.SIGCONT)
+
+    def kill(self):
+        self.ending = True
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+
+    async def leave(self):
+        """SIGTERM; the platform kills what is left after the grace time."""
+        self.leaving = True
+        self.run.journal.note("leaving", router=self.run_name)
+        self.signal(signal.SIGTERM)
+        end = self.run.now() + BOUNDS["GraceS"]
+        while self.running() and self.run.now() < end:
+            await asyncio.sleep(0.05)
+        if self.running():
+            self.run.journal.note("overstayed", router=self.run_name)
+            self.kill()
+        return self.process.returncode
+
+    def end(self):
+        if self.running():
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        if self.process is not None:
+            self.process.wait()
+
+
+class Run:
+    def __init__(self, seed, folder, routers=5):
+        self.seed = seed
+        self.folder = pathlib.Path(folder)
+        self.random = random.Random(seed)
+        # A build during the run must not replace the program.
+        self.program = self.folder / BINARY.name
+        shutil.copy(BINARY, self.program)
+        self.pause = 0.12
+        self.leave_share = 0.02
+        self._begun = time.monotonic()
+        self.journal = Journal(self.now)
+        self.store = store.Store(seed)
+        # Two runs at a time use different loopback addresses.
+        self.network = f"127.{80 + os.getpid() % 40}.{os.getpid() // 40 % 250}"
+        self.routers = [Router(self, n) for n in range(routers)]
+        self.servers = []
+        self.proxies = {}
+        self.version = 0
+        self.evacuated = set()
+        self.unexpected_ends = []
+        self.calm_since = self.ended = 0.0
+        # Longest time that this process did not get to run.
+        self.own_delay = 0.0
+        self._tasks = []
+
+    def now(self):
+        return time.monotonic() - self._begun
+
+    def wall(self):
+        return time.time()
+
+    async def start(self):
+        for router in self.routers:
+            await router.listen()
+        for service, (count, keyed, work) in SERVICES.items():
+            for _ in range(count):
+                await self.add_server(service, keyed, work, cold=False)
+        self.configure()
+        for router in self.routers:
+            router.start()
+        self._tasks = [asyncio.create_task(self._expire())]
+        await self.wait(lambda: all(
+            server.holds for server in self.servers if server.keyed),
+            "each server of a keyed service has keys")
+        self.callers = callers.Callers(self, 36)
+        self._tasks.append(asyncio.create_task(callers.probe_versions(self)))
+        await self.wait(lambda: all(r.misses == 0 for r in self.routers),
+                        "all routers are ready")
+
+    async def wait(self, condition, what, limit=START_LIMIT):
+        end = self.now() + limit
+        while not condition():
+            if self.now() > end:
+                raise TimeoutError(f"{what}: not seen within {limit} s")
+            await asyncio.sleep(0.05)
+
+    async def add_server(self, service, keyed, work, cold=True):
+        number = len(self.servers)
+        server = servers.Server(self, number, service, ZONES[number % 3],
+                                keyed, work)
+        server.listen_at = (f"{self.network}.201", 9000 + number)
+        host = f"{self.network}.200"
+        server.address = f"{host}:{9000 + number}"
+        self.proxies[server] = proxy.Proxy(server.listen_at)
+        await self.proxies[server].listen(host, 9000 + number)
+        self.servers.append(server)
+        await server.start(cold=cold)
+        return server
+
+    def configure(self):
+        """Writes the next configuration. Each has a route of its own, and the
+        one of the version before the last is gone."""
+        self.version += 1
+        routes = [{
+            "Name": kind.name, "Hostname": callers.HOST,
+            "PathPrefix": f"/{kind.name}/", "Service": kind.service,
+            "RouteType": "safe" if kind.repeatable else "unsafe",
+            "MaxAttempts": 3 if kind.repeatable else 2, "TimeoutMs": 2000,
+            "TargetLatencyMs": kind.deadline_ms // 2, "Priority": 1}
+            for kind in callers.KINDS]
+        routes += [{
+            "Name": f"version-{n}", "Hostname": callers.HOST,
+            "PathPrefix": f"/version-{n}/", "Service": "raddning",
+            "RouteType": "safe", "MaxAttempts": 2, "TimeoutMs": 1000,
+            "TargetLatencyMs": 200, "Priority": 5}
+            for n in (self.version, self.version - 1)]
+        self.store.put("config", "main", {
+            "Version": f"{self.version:08x}", "Routes": routes,
+            "Services": [{
+                "Name": name, "HealthPath": "/healthz", "MaxConnections": 200,
+                "WarmupS": servers.COLD_TIME, "WarmupPerS": servers.COLD_RATE,
+                "Sharded": keyed, "WarmS": 0 if not keyed else 3}
+                for name, (_, keyed, _) in SERVICES.items()],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4_000_000,
+                       "HeaderTimeoutMs": 4000, "IdleTimeoutMs": 15000}})
+        self.journal.note("configured", version=self.version)
+
+    def recent_versions(self):
+        return range(max(self.version - 3, 1), self.version + 1)
+
+    async def _expire(self):
+        while True:
+            await asyncio.sleep(0.2)
+            if not self.store.down():
+                self.store.expire(self.now())
+
+    async def stop(self):
+        if hasattr(self, "callers"):
+            await self.callers.stop()
+        for task in self._tasks:
+            task.cancel()
+        for router in self.routers:
+            router.end()
+        for server in self.servers:
+            await server.crash()
+            self.proxies[server].close()
+        self.store.close()
+        for router in self.routers:
+            router.store_proxy.close()
+        # Connections that were reset end in the next turns of the loop.
+        await asyncio.sleep(0.2)
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,4 +11,6 @@
 # Four tests at once: timed tests with real processes need idle cores.
 ctest --preset dev -j 4 --output-on-failure
 bash scripts/prove.sh --short
+python3 -B test/soak/checks_test.py
+bash scripts/soak.sh --seed 1 --regressions
 bash scripts/check_deploy.sh
