--- a/scripts/soak/checks.py
+++ b/scripts/soak/checks.py
@@ -164,40 +164,36 @@
                         (e["server"].number, e["life"])))
 
 
-@check
-def draining_servers_are_left_alone(run):
+def late_begins(run, begins, ends, bound, subject):
+    """Requests that undisturbed routers sent to a server later than `bound`
+    after an event `begins` of its subject, and before an event of `ends`."""
     sent = requests_of(run)
     left = {}
     for e in run.journal.events:
-        if e["what"] == "life":
-            left.pop(e["server"], None)
-        elif e["what"] == "draining":
-            left[e["server"]] = e["at"]
-        elif e["what"] == "begin" and e["server"] in left:
-            since = left[e["server"]]
+        if e["what"] == begins:
+            left[subject(e)] = e["at"]
+        elif e["what"] in ends:
+            left.pop(subject(e), None)
+        elif e["what"] == "begin" and subject(e) in left:
+            since = left[subject(e)]
             router = sent[e["request"]]["router"]
-            if e["at"] > since + DRAIN and not disturbed(
+            if e["at"] > since + bound and not disturbed(
                     run, router, since - CONTACT, e["at"]):
                 yield (f"{e['request']} reached {e['server'].id} "
-                       f"{e['at'] - since:.2f} s after it was draining")
+                       f"{e['at'] - since:.2f} s after it was {begins}")
+
+
+@check
+def draining_servers_are_left_alone(run):
+    return late_begins(run, "draining", ("life",), DRAIN,
+                       lambda e: e["server"])
 
 
 @check
 def evacuated_domains_are_left_alone(run):
-    sent = requests_of(run)
-    out = {}
-    for e in run.journal.events:
-        if e["what"] == "evacuated":
-            out[e["domain"]] = e["at"]
-        elif e["what"] == "returned":
-            out.pop(e["domain"], None)
-        elif e["what"] == "begin" and e["server"].zone in out:
-            since = out[e["server"].zone]
-            router = sent[e["request"]]["router"]
-            if e["at"] > since + EVACUATE and not disturbed(
-                    run, router, since - CONTACT, e["at"]):
-                yield (f"{e['request']} reached {e['server'].id} "
-                       f"{e['at'] - since:.2f} s after its evacuation")
+    return late_begins(
+        run, "evacuated", ("returned",), EVACUATE,
+        lambda e: e["domain"] if "domain" in e else e["server"].zone)
 
 
 @check
--- a/test/soak/checks_test.py
+++ b/test/soak/checks_test.py
@@ -166,6 +166,17 @@
                          cold=False)
         self.rejects(checks.leaving_routers_answer_everything)
 
+    def test_work_for_callers_that_left(self):
+        for number in range(4):
+            identity = f"q{number}"
+            request(self.journal, 5, identity)
+            self.journal.add("left", 5.1, request=identity)
+            begin(self.journal, 5.5, self.a, identity)
+        self.accepts(checks.cancelled_requests_are_not_begun)
+        for number in range(4):
+            begin(self.journal, 5.7, self.a, f"q{number}")
+        self.rejects(checks.cancelled_requests_are_not_begun)
+
     def test_a_process_that_fails(self):
         self.journal.add("left fleet", 5, router="r#1", code=139)
         self.rejects(checks.processes_end_only_when_told)
