--- /dev/null
+++ b/src/router/caller_results.cpp
@@ -0,0 +1,185 @@
+// Results of the attempts of `caller_service`, and the answers to its callers.
+
+#include "router/caller_request.hpp"
+
+#include <filberthub/telemetry/log.hpp>
+
+#include <algorithm>
+
+namespace filberthub {
+namespace {
+
+namespace header = platform_api::header;
+
+// Pause before the next attempt of a request with a key that its owner refused.
+constexpr milliseconds pause_after_refusal{20};
+
+// Returns the time in seconds with three decimals.
+std::string format_seconds(milliseconds time)
+{
+    std::string digits = std::to_string(time.count() % 1000);
+    digits.insert(0, 3 - digits.size(), '0');
+    return std::to_string(time.count() / 1000) + "." + digits;
+}
+
+} // namespace
+
+void caller_service::on_result(const request_ptr& request,
+    const backend_server_id& server, http_result result)
+{
+    const time_point now = clock_();
+    const milliseconds taken = elapsed(request->sent, now);
+    if (result.response) {
+        on_answer(request, server, std::move(*result.response), taken, now);
+        return;
+    }
+    const send_outcome outcome =
+        result.sent ? send_outcome::lost : send_outcome::unreachable;
+    view_.servers().on_finished(server, outcome, taken, std::nullopt, now);
+    report_to_gate(*request, outcome, taken, std::nullopt);
+    if (result.sent) {
+        ++request->state.sends;
+        request->state.may_have_run = true;
+        request->tried_servers.push_back(server);
+    }
+    if (request->finished)
+        return;
+    log_event(log_level::info, "attempt got no answer",
+        {{log_key::request_id, request->id}, {log_key::server, server.value()},
+            {"sent", result.sent}, {log_key::duration_ms, taken.count()},
+            {log_key::error, result.message}});
+    on_failed_attempt(request, {outcome}, now);
+}
+
+void caller_service::on_answer(const request_ptr& request,
+    const backend_server_id& server, http_response response, milliseconds taken,
+    time_point now)
+{
+    const auto report = platform_api::decode_load(response.headers);
+    send_outcome outcome = send_outcome::answered;
+    if (platform_api::says_not_run(response))
+        outcome = send_outcome::refused;
+    else if (response.status >= 500)
+        outcome = send_outcome::failed;
+    else if (response.status < 300 && !response.headers.get(header::signature))
+        outcome = send_outcome::lost;
+    view_.servers().on_finished(server, outcome, taken, report, now);
+    report_to_gate(*request, outcome, taken, report);
+    ++request->state.sends;
+    request->tried_servers.push_back(server);
+    if (outcome != send_outcome::refused)
+        request->state.may_have_run = true;
+    if (request->finished)
+        return;
+    if (outcome != send_outcome::answered) {
+        log_event(log_level::info, "attempt was refused or failed",
+            {{log_key::request_id, request->id},
+                {log_key::server, server.value()},
+                {log_key::status, response.status},
+                {"not_run", outcome == send_outcome::refused},
+                {log_key::duration_ms, taken.count()}});
+    }
+    const next_step step = after_attempt(request->state, {outcome}, now);
+    if (step == next_step::deliver) {
+        deliver(request, std::move(response));
+        return;
+    }
+    if (step == next_step::repeat &&
+        !budget_of(request->service).try_take(now, view_.fleet_size())) {
+        if (outcome == send_outcome::failed) {
+            deliver(request, std::move(response));
+            return;
+        }
+        fail(request, failure_of(request->state, false, retry_delay),
+            "retry budget is spent");
+        return;
+    }
+    if (step == next_step::give_up) {
+        fail(request, failure_of(request->state, false, retry_delay),
+            "attempts are spent");
+        return;
+    }
+    if (request->state.keyed)
+        request->not_before = now + pause_after_refusal;
+    start_attempt(request);
+}
+
+void caller_service::on_failed_attempt(
+    const request_ptr& request, const attempt_result& result, time_point now)
+{
+    const next_step step = after_attempt(request->state, result, now);
+    if (step == next_step::repeat_without_budget) {
+        start_attempt(request);
+        return;
+    }
+    if (step == next_step::repeat &&
+        budget_of(request->service).try_take(now, view_.fleet_size())) {
+        start_attempt(request);
+        return;
+    }
+    const bool timed_out =
+        now + min_attempt_time >= request->state.answer_deadline;
+    fail(request, failure_of(request->state, timed_out, retry_delay),
+        timed_out ? "time limit reached" : "attempt failed");
+}
+
+void caller_service::deliver(const request_ptr& request, http_response response)
+{
+    remove_hop_by_hop_fields(response.headers);
+    platform_api::remove_internal_fields(response.headers);
+    done_.add();
+    latency_.add(
+        static_cast<double>(elapsed(request->arrived, clock_()).count()));
+    log_event(log_level::info, "request served",
+        {{log_key::request_id, request->id},
+            {log_key::service, request->service.value()},
+            {log_key::server, request->server.value()},
+            {log_key::status, response.status}, {"sends", request->state.sends},
+            {"gate_ms", elapsed(request->arrived, request->sent).count()},
+            {log_key::duration_ms, elapsed(request->arrived, clock_()).count()},
+            {log_key::revision, request->routes->config().version.value()}});
+    const std::shared_ptr<http_exchange> exchange = request->exchange;
+    finish(request);
+    exchange->respond(std::move(response));
+}
+
+void caller_service::fail(const request_ptr& request,
+    const failure_answer& answer, std::string_view reason)
+{
+    http_response response;
+    response.status = answer.status;
+    if (answer.retry_after)
+        response.headers.set(
+            header::retry_after, format_seconds(*answer.retry_after));
+    if (!request->id.empty())
+        response.headers.set(header::request_id, request->id);
+    response.headers.set("Content-Type", "text/plain");
+    response.body = std::string(reason) + "\n";
+    (request->state.may_have_run ? unknown_ : not_run_).add();
+    log_event(log_level::info, "request not served",
+        {{log_key::request_id, request->id},
+            {log_key::service, request->service.value()},
+            {log_key::status, answer.status}, {"reason", reason},
+            {"sends", request->state.sends},
+            {"may_have_run", request->state.may_have_run},
+            {log_key::duration_ms, elapsed(request->arrived, clock_()).count()},
+            {log_key::revision, request->routes
+                                    ? request->routes->config().version.value()
+                                    : 0}});
+    const std::shared_ptr<http_exchange> exchange = request->exchange;
+    finish(request);
+    exchange->respond(std::move(response));
+}
+
+void caller_service::finish(const request_ptr& request)
+{
+    if (request->finished)
+        return;
+    request->finished = true;
+    // The list may hold the last reference to the request, which contains the
+    // iterator.
+    const auto position = request->position;
+    requests_.erase(position);
+}
+
+} // namespace filberthub
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -80,7 +80,6 @@
         http_result result);
     void on_answer(const request_ptr& request, const backend_server_id& server,
         http_response response, milliseconds taken, time_point now);
-    void on_timeout(const request_ptr& request);
     void on_failed_attempt(const request_ptr& request,
         const attempt_result& result, time_point now);
     void deliver(const request_ptr& request, http_response response);
