Log when a request was sent and how late a change may have been learned

A served or failed attempt tells connection_ms, from the choice of the server to the first byte. A request whose first byte was sent after its server was known to leave has a line and a counter of its own. Changes of servers tell changed_ms_ago, and a deferred removal has a line.

--- a/include/filberthub/net/http_client.hpp
+++ b/include/filberthub/net/http_client.hpp
@@ -37,6 +37,9 @@
     // Whether a byte of the request may have reached the server. `false` proves
     // that the server did not receive it.
     bool sent = false;
+    // How long the call waited for a connection. If it was not sent, the whole
+    // time until it failed.
+    milliseconds connection_wait{0};
 };
 
 using http_callback = std::function<void(http_result)>;
@@ -125,9 +128,13 @@
     {
         http_request request;
         http_callback callback;
+        time_point accepted;
+        // When its first byte was sent.
+        std::optional<time_point> started;
         time_point deadline;
         detail::client_connection* connection = nullptr;
-        bool sent = false;
+
+        milliseconds connection_wait(time_point now) const;
     };
 
     void dispatch();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -105,7 +105,7 @@
         number_ = number;
         busy_ = true;
         call.connection = this;
-        call.sent = true;
+        call.started = std::chrono::steady_clock::now();
         head_request_ = call.request.method == "HEAD";
         if (!client_.options_.echoed_field.empty()) {
             expected_echo_ = std::string(
@@ -283,6 +283,12 @@
 
 } // namespace detail
 
+milliseconds http_client::call::connection_wait(time_point now) const
+{
+    return std::chrono::duration_cast<milliseconds>(
+        started.value_or(now) - accepted);
+}
+
 http_client::http_client(endpoint address, http_client_options options)
     : address_(std::move(address)), options_(std::move(options))
 {
@@ -310,7 +316,8 @@
     call& added = calls_[number];
     added.request = std::move(request);
     added.callback = std::move(callback);
-    added.deadline = std::chrono::steady_clock::now() + timeout;
+    added.accepted = std::chrono::steady_clock::now();
+    added.deadline = added.accepted + timeout;
     waiting_.push_back(number);
     dispatch();
     arm_timer();
@@ -322,7 +329,7 @@
     const auto found = calls_.find(number);
     if (found == calls_.end())
         return true;
-    const bool sent = found->second.sent;
+    const bool sent = found->second.started.has_value();
     detail::client_connection* connection = found->second.connection;
     calls_.erase(found);
     std::erase(waiting_, number);
@@ -336,7 +343,7 @@
 bool http_client::is_sent(call_number number) const
 {
     const auto found = calls_.find(number);
-    return found != calls_.end() && found->second.sent;
+    return found != calls_.end() && found->second.started.has_value();
 }
 
 void http_client::on_reset(std::function<void()> callback)
@@ -387,6 +394,8 @@
     if (found == calls_.end())
         return;
     const http_callback callback = std::move(found->second.callback);
+    result.connection_wait =
+        found->second.connection_wait(std::chrono::steady_clock::now());
     calls_.erase(found);
     callback(std::move(result));
 }
@@ -439,12 +448,14 @@
         if (found == calls_.end())
             continue;
         http_callback callback = std::move(found->second.callback);
+        const milliseconds connection_wait = found->second.connection_wait(now);
         const bool sent = cancel(number);
         callback({.response = std::nullopt,
             .kind = sent ? error_kind::outcome_unknown
                          : error_kind::deadline_exceeded_not_run,
             .message = "no answer before the deadline",
-            .sent = sent});
+            .sent = sent,
+            .connection_wait = connection_wait});
     }
     arm_timer();
 }
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -43,6 +43,8 @@
     backend_server_id server;
     // When the last attempt started.
     time_point sent;
+    // How long the last attempt waited for a connection to the server.
+    milliseconds connection_wait{0};
     // Whether the request was answered or cancelled.
     bool finished = false;
     bool waiting_for_retry = false;
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -29,6 +29,10 @@
 {
     const time_point now = clock_();
     const milliseconds taken = elapsed(request->sent, now);
+    request->connection_wait = result.connection_wait;
+    connection_wait_.add(static_cast<double>(result.connection_wait.count()));
+    if (result.sent)
+        log_send_to_leaving_server(*request, server);
     if (result.response) {
         on_answer(request, server, std::move(*result.response), taken, now);
         return;
@@ -46,11 +50,32 @@
         return;
     log_event(log_level::info, "attempt got no answer",
         {{log_key::request_id, request->id}, {log_key::server, server.value()},
-            {"sent", result.sent}, {log_key::duration_ms, taken.count()},
+            {"sent", result.sent},
+            {"connection_ms", result.connection_wait.count()},
+            {log_key::duration_ms, taken.count()},
             {log_key::error, result.message}});
     on_failed_attempt(request, {outcome}, now);
 }
 
+// Logs a request whose first byte was sent after the server was known to leave.
+void caller_service::log_send_to_leaving_server(
+    const caller_request& request, const backend_server_id& server)
+{
+    const observed_server* known = view_.servers().find(server);
+    if (known == nullptr || !known->unusable_since)
+        return;
+    const time_point started = request.sent + request.connection_wait;
+    if (started <= *known->unusable_since)
+        return;
+    sends_to_leaving_servers_.add();
+    log_event(log_level::info, "request was sent to a leaving server",
+        {{log_key::request_id, request.id}, {log_key::server, server.value()},
+            {"keyed", request.state.keyed},
+            {"leaving_ms", elapsed(*known->unusable_since, started).count()},
+            {"gate_ms", elapsed(request.arrived, request.sent).count()},
+            {"connection_ms", request.connection_wait.count()}});
+}
+
 void caller_service::on_answer(const request_ptr& request,
     const backend_server_id& server, http_response response, milliseconds taken,
     time_point now)
@@ -136,6 +161,7 @@
             {log_key::server, request->server.value()},
             {log_key::status, response.status}, {"sends", request->state.sends},
             {"gate_ms", elapsed(request->arrived, request->sent).count()},
+            {"connection_ms", request->connection_wait.count()},
             {log_key::duration_ms, elapsed(request->arrived, clock_()).count()},
             {log_key::revision, request->routes->config().version.value()}});
     const std::shared_ptr<http_exchange> exchange = request->exchange;
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -47,6 +47,11 @@
           "Requests by outcome.", {{"outcome", "unknown"}})),
       repeats_(metrics.add_counter(
           "filberthub_repeats_total", "Attempts after the first one.")),
+      sends_to_leaving_servers_(
+          metrics.add_counter("filberthub_sends_to_leaving_servers_total",
+              "Requests sent after their server was known to leave.")),
+      connection_wait_(metrics.add_histogram("filberthub_connection_wait_ms",
+          "Milliseconds from the choice of a server to the first byte sent.")),
       latency_(metrics.add_histogram("filberthub_request_ms",
           "Milliseconds from a request to its answer."))
 {
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -78,6 +78,8 @@
         time_point now);
     void on_result(const request_ptr& request, const backend_server_id& server,
         http_result result);
+    void log_send_to_leaving_server(
+        const caller_request& request, const backend_server_id& server);
     void on_answer(const request_ptr& request, const backend_server_id& server,
         http_response response, milliseconds taken, time_point now);
     void on_failed_attempt(const request_ptr& request,
@@ -110,6 +112,8 @@
     counter& not_run_;
     counter& unknown_;
     counter& repeats_;
+    counter& sends_to_leaving_servers_;
+    histogram& connection_wait_;
     histogram& latency_;
 };
 
--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -122,6 +122,14 @@
     }
 }
 
+// Returns how long ago the change that is being applied may have happened.
+milliseconds deployment_view::max_change_age(time_point now) const
+{
+    return changes_missed_since_ ? std::chrono::duration_cast<milliseconds>(
+                                       now - *changes_missed_since_)
+                                 : milliseconds(0);
+}
+
 void deployment_view::apply_server(
     const std::string& name, const versioned_object& object, time_point now)
 {
@@ -132,11 +140,19 @@
         if (found == entries_.end())
             return;
         if (now < defer_until_ && !found->second.draining) {
+            log_event(log_level::info, "removal of a server deferred",
+                {{log_key::server, name},
+                    {log_key::duration_ms,
+                        std::chrono::duration_cast<milliseconds>(
+                            defer_until_ - now)
+                            .count()},
+                    {"store_version", object.version.value()}});
             deferred_removals_[id] = defer_until_;
             return;
         }
         log_event(log_level::info, "server removed",
             {{log_key::server, name},
+                {"changed_ms_ago", max_change_age(now).count()},
                 {"store_version", object.version.value()}});
         entries_.erase(found);
         servers_.remove(id);
@@ -151,6 +167,7 @@
                 {"draining", entry.draining},
                 {"cold_ms", entry.cold_left.count()},
                 {"started", entry.started},
+                {"changed_ms_ago", max_change_age(now).count()},
                 {"store_version", object.version.value()}});
         entries_[id] = entry;
         const service_rule* rule =
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -146,6 +146,7 @@
     void apply_members(const versioned_object& object);
     void apply_served(
         const std::string& service, const versioned_object& object);
+    milliseconds max_change_age(time_point now) const;
     void refresh_servers(time_point now);
 
     object_cache objects_;
