--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,6 +8,12 @@
 bash scripts/build.sh dev
 bash scripts/format.sh --check
 bash scripts/lint.sh
+# Tests that KNOWN-RED.txt lists as `test SUITE.NAME` are skipped and printed.
+known_red=$(sed -n 's/^test //p' KNOWN-RED.txt | paste -sd:)
+if [ -n "$known_red" ]; then
+    echo "KNOWN-RED tests, listed in KNOWN-RED.txt, not counted: $known_red"
+    export GTEST_FILTER="-$known_red"
+fi
 # At most four tests in parallel, because timed tests with real processes need
 # idle cores.
 ctest --preset dev -j 4 --output-on-failure
