Check the server of a request again when its first byte is sent

Cause: the server is checked when it is chosen, and then http_client may queue the request until one of its connections is free. Nothing checked the server after that wait. At 160 connections for 99 instances there are 2 for each instance and server, and callers wait 5 to 8 s.

Change: http_client asks for the request when a connection is free, and the answer may be that it is withdrawn. The router withdraws a request whose server is leaving, evacuated or gone, both then and as soon as it learns of it, and chooses again. The request carries the time that is left at its first byte; it used to carry that of the choice.

Ruled out: more connections, which are priced and bounded by the server; a check at the choice only, with a shorter wait, which would refuse requests to servers that stay.

New: HttpClient.AsksForTheRequestOnlyWhen- AConnectionIsFree.

--- a/include/filberthub/net/http_client.hpp
+++ b/include/filberthub/net/http_client.hpp
@@ -37,12 +37,17 @@
     // Whether a byte of the request may have reached the server. `false` proves
     // that the server did not receive it.
     bool sent = false;
+    // Whether the source of the request withdrew the call before it was sent.
+    bool withdrawn = false;
     // How long the call waited for a connection. If it was not sent, the whole
     // time until it failed.
     milliseconds connection_wait{0};
 };
 
 using http_callback = std::function<void(http_result)>;
+// Builds a request when a connection is free for it, or returns nothing to
+// withdraw the call.
+using http_request_source = std::function<std::optional<http_request>()>;
 using call_number = strong_number<struct call_number_tag, std::uint64_t>;
 
 struct http_client_options
@@ -88,6 +93,11 @@
     call_number send(
         http_request request, milliseconds timeout, http_callback callback);
 
+    // The same for a request that depends on what is known when its first byte
+    // is sent, which may be long after this call.
+    call_number send_when_free(http_request_source source, milliseconds timeout,
+        http_callback callback);
+
     // Cancels a call; its callback is not called. Its connection is closed,
     // which tells the server to stop. Returns whether a byte of the request may
     // have reached the server.
@@ -126,7 +136,7 @@
 
     struct call
     {
-        http_request request;
+        http_request_source source;
         http_callback callback;
         time_point accepted;
         // When its first byte was sent.
@@ -138,6 +148,7 @@
     };
 
     void dispatch();
+    void withdraw(call_number number);
     void finish(call_number number, http_result result);
     void remove(detail::client_connection* connection, bool reset);
     void fail_expired();
--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -134,12 +134,16 @@
 
     // Whether new requests may be sent to the server at all.
     bool usable(const observed_server& server) const;
+    // Whether a request that was assigned to the server earlier may still be
+    // sent to it. The owner of a key remains allowed for a short time while its
+    // keys are moved to other servers.
+    bool allows_assigned(
+        const observed_server& server, bool keyed, time_point now) const;
     bool cold(const observed_server& server, time_point now) const;
     // Whether a request may be sent to the server now. False for a cold server
     // if the last request to it was too recent.
     bool may_send(const observed_server& server, time_point now) const;
-    // The same for the owner of a key. It remains usable for a short time while
-    // its keys are moved to other servers.
+    // The same for the owner of a key; see `allows_assigned`.
     bool may_send_keyed(const observed_server& server, time_point now) const;
 
     // Returns the server with the shortest expected time among a random sample,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -100,26 +100,27 @@
         return connecting() && now > connect_deadline_;
     }
 
-    void start(call_number number, http_client::call& call)
+    void start(
+        call_number number, http_client::call& call, http_request request)
     {
         number_ = number;
         busy_ = true;
         call.connection = this;
         call.started = std::chrono::steady_clock::now();
-        head_request_ = call.request.method == "HEAD";
+        head_request_ = request.method == "HEAD";
         if (!client_.options_.echoed_field.empty()) {
-            expected_echo_ = std::string(
-                call.request.headers.get(client_.options_.echoed_field)
-                    .value_or(""));
+            expected_echo_ =
+                std::string(request.headers.get(client_.options_.echoed_field)
+                                .value_or(""));
         }
         decoder_.begin(head_request_, client_.options_.allow_close_delimited);
         if (client_.options_.number_exchanges) {
-            call.request.headers.set(
+            request.headers.set(
                 exchange_header, std::to_string(number.value()));
         }
-        if (!call.request.headers.get("Host"))
-            call.request.headers.set("Host", to_string(client_.address_));
-        const std::string bytes = encode(call.request);
+        if (!request.headers.get("Host"))
+            request.headers.set("Host", to_string(client_.address_));
+        const std::string bytes = encode(request);
         socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
     }
 
@@ -310,11 +311,19 @@
 
 call_number http_client::send(
     http_request request, milliseconds timeout, http_callback callback)
+{
+    return send_when_free(
+        [request = std::move(request)]() mutable { return std::move(request); },
+        timeout, std::move(callback));
+}
+
+call_number http_client::send_when_free(
+    http_request_source source, milliseconds timeout, http_callback callback)
 {
     last_number_ = last_number_.next();
     const call_number number = last_number_;
     call& added = calls_[number];
-    added.request = std::move(request);
+    added.source = std::move(source);
     added.callback = std::move(callback);
     added.accepted = std::chrono::steady_clock::now();
     added.deadline = added.accepted + timeout;
@@ -367,7 +376,11 @@
             break;
         const call_number number = waiting_.front();
         waiting_.pop_front();
-        best->start(number, calls_.at(number));
+        call& next = calls_.at(number);
+        if (std::optional<http_request> request = next.source())
+            best->start(number, next, std::move(*request));
+        else
+            withdraw(number);
     }
     if (waiting_.empty())
         return;
@@ -388,6 +401,18 @@
         connections_.push_back(new detail::client_connection(*this));
 }
 
+// The callback is called later, because `send` may be on the stack.
+void http_client::withdraw(call_number number)
+{
+    QTimer::singleShot(0, this, [this, number] {
+        finish(number, {.response = std::nullopt,
+                           .kind = error_kind::cancelled,
+                           .message = "withdrawn before it was sent",
+                           .sent = false,
+                           .withdrawn = true});
+    });
+}
+
 void http_client::finish(call_number number, http_result result)
 {
     const auto found = calls_.find(number);
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -208,9 +208,27 @@
             *request, send_outcome::cancelled, milliseconds(0), std::nullopt);
         start_attempt(request);
     }
+    withdraw_unsent();
     retry_waiting();
 }
 
+// A request that waits for a connection to a server that may not get it any
+// more would wait in vain.
+void caller_service::withdraw_unsent()
+{
+    const time_point now = clock_();
+    std::vector<request_ptr> unsent_requests;
+    for (const request_ptr& request : requests_) {
+        if (request->client != nullptr && !may_still_send(*request, now) &&
+            !is_sent(*request))
+            unsent_requests.push_back(request);
+    }
+    for (const request_ptr& request : unsent_requests) {
+        if (request->client != nullptr)
+            on_withdrawn(request, now);
+    }
+}
+
 void caller_service::retry_waiting()
 {
     std::vector<request_ptr> waiting;
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -31,6 +31,10 @@
     const milliseconds taken = elapsed(request->sent, now);
     request->connection_wait = result.connection_wait;
     connection_wait_.add(static_cast<double>(result.connection_wait.count()));
+    if (result.withdrawn) {
+        on_withdrawn(request, now);
+        return;
+    }
     if (result.sent)
         log_send_to_leaving_server(*request, server);
     if (result.response) {
@@ -57,6 +61,25 @@
     on_failed_attempt(request, {outcome}, now);
 }
 
+// Chooses again for a request whose server may not get it any more. No byte of
+// it was sent.
+void caller_service::on_withdrawn(const request_ptr& request, time_point now)
+{
+    log_event(log_level::info, "attempt was withdrawn before it was sent",
+        {{log_key::request_id, request->id},
+            {log_key::server, request->server.value()},
+            {"connection_ms", elapsed(request->sent, now).count()}});
+    if (request->client != nullptr) {
+        request->client->cancel(request->call);
+        request->client = nullptr;
+    }
+    view_.servers().on_finished(request->server, send_outcome::cancelled,
+        elapsed(request->sent, now), std::nullopt, now);
+    report_to_gate(
+        *request, send_outcome::cancelled, milliseconds(0), std::nullopt);
+    start_attempt(request);
+}
+
 // Logs a request whose first byte was sent after the server was known to leave.
 void caller_service::log_send_to_leaving_server(
     const caller_request& request, const backend_server_id& server)
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -144,6 +144,16 @@
     return copy;
 }
 
+// Whether the server that was chosen for the request may get it now. It may
+// have announced that it is leaving while the request waited for a connection.
+bool caller_service::may_still_send(
+    const caller_request& request, time_point now) const
+{
+    const observed_server* server = view_.servers().find(request.server);
+    return server != nullptr &&
+           view_.servers().allows_assigned(*server, request.state.keyed, now);
+}
+
 void caller_service::send(
     const request_ptr& request, const backend_server_id& server, time_point now)
 {
@@ -159,7 +169,13 @@
     if (request->state.sends > 0)
         repeats_.add();
     view_.servers().on_sent(server, now);
-    request->call = client->send(make_forwarded_request(*request, now),
+    const auto make_request = [this, request]() -> std::optional<http_request> {
+        const time_point started = clock_();
+        if (!may_still_send(*request, started))
+            return std::nullopt;
+        return make_forwarded_request(*request, started);
+    };
+    request->call = client->send_when_free(make_request,
         std::max(elapsed(now, request->state.answer_deadline), milliseconds(1)),
         [this, request, server](http_result result) {
             request->client = nullptr;
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -34,7 +34,7 @@
 
     // To be called when the view has changed. Tries the waiting requests again,
     // also those that wait for a slot of a server that no longer owns their
-    // key.
+    // key, or for a connection to a server that may not get them any more.
     void on_view_changed();
     // Tries the requests again that wait for an owner of their key, or that
     // pause after a refusal.
@@ -61,6 +61,7 @@
     struct caller_request;
     using request_ptr = std::shared_ptr<caller_request>;
 
+    void withdraw_unsent();
     void start_request(const request_ptr& request);
     void start_attempt(const request_ptr& request);
     void retry_later(const request_ptr& request, time_point now);
@@ -76,6 +77,8 @@
     bool owner_is_lost(const caller_request& request, time_point now) const;
     void send(const request_ptr& request, const backend_server_id& server,
         time_point now);
+    bool may_still_send(const caller_request& request, time_point now) const;
+    void on_withdrawn(const request_ptr& request, time_point now);
     void on_result(const request_ptr& request, const backend_server_id& server,
         http_result result);
     void log_send_to_leaving_server(
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -156,11 +156,18 @@
            (!cold(server, now) || now >= server.next_cold_send);
 }
 
+bool server_pool::allows_assigned(
+    const observed_server& server, bool keyed, time_point now) const
+{
+    return usable(server) ||
+           (keyed && server.unusable_since &&
+               now < *server.unusable_since + keyed_grace_period);
+}
+
 bool server_pool::may_send_keyed(
     const observed_server& server, time_point now) const
 {
-    if (server.unusable_since &&
-        now >= *server.unusable_since + keyed_grace_period)
+    if (!allows_assigned(server, true, now))
         return false;
     return !cold(server, now) || now >= server.next_cold_send;
 }
--- a/test/net/http_test.cpp
+++ b/test/net/http_test.cpp
@@ -316,5 +316,30 @@
     EXPECT_TRUE(result.sent);
 }
 
+// Guards against a request that is sent on the grounds of what was known before
+// it waited for a connection.
+TEST(HttpClient, AsksForTheRequestOnlyWhenAConnectionIsFree)
+{
+    raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    http_client client(server.address(), {.max_connections = 1});
+    std::optional<http_result> first;
+    std::optional<http_result> second;
+    int asked = 0;
+    client.send({}, call_timeout, [&](http_result value) { first = value; });
+    client.send_when_free(
+        [&]() -> std::optional<http_request> {
+            EXPECT_TRUE(first);
+            ++asked;
+            return std::nullopt;
+        },
+        call_timeout, [&](http_result value) { second = value; });
+    ASSERT_TRUE(run_until([&] { return second.has_value(); }));
+    EXPECT_EQ(asked, 1);
+    EXPECT_TRUE(second->withdrawn);
+    EXPECT_FALSE(second->sent);
+    EXPECT_EQ(server.requests, 1);
+    EXPECT_EQ(client.open_connections(), 1U);
+}
+
 } // namespace
 } // namespace filberthub
--- a/test/router/router_test.cpp
+++ b/test/router/router_test.cpp
@@ -209,5 +209,22 @@
     EXPECT_EQ(server_.requests.size(), 2U);
 }
 
+// Guards against a server that works on a request for longer than its caller
+// waits, because the request waited for a connection.
+TEST_F(router_test, PassesOnTheTimeThatIsLeftWhenAConnectionIsFree)
+{
+    ASSERT_TRUE(occupy_connections());
+    const time_point occupied = std::chrono::steady_clock::now();
+    constexpr milliseconds wait(300);
+    ASSERT_TRUE(run_until(
+        [&] { return std::chrono::steady_clock::now() > occupied + wait; }));
+    server_.answer(0, "done");
+    ASSERT_TRUE(run_until([&] { return server_.requests.size() == 3; }));
+    const auto left =
+        server_.requests[2]->request().headers.get("X-Filberthub-Deadline-Ms");
+    ASSERT_TRUE(left);
+    EXPECT_LE(std::stol(std::string(*left)), 20'000 - wait.count());
+}
+
 } // namespace
 } // namespace filberthub
