Pass on since when a server may be leaving

Cause: a coordinator that learns late of a leaving server, for example because its watch of the store failed for a second, counts the time for which the owner of keys may get requests from when it may have begun to leave. Its followers got only the change. One that was connected all the time counted from its arrival, and sent requests to the owner for up to 1.2 s more than the coordinator.

Change: the coordinator sends an upper bound of the age of each change, and the follower counts from there. A coordinator of an earlier release sends none, and its followers count as before; followers of an earlier release ignore it.

Test: feed_test.PassesOnSinceWhenAServerMayBeLeaving. Before, the follower counted from now instead of 1 s earlier.

--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -77,6 +77,7 @@
 
 void deployment_view::apply(const versioned_object& object, time_point now)
 {
+    changed_since_[object.key] = changes_missed_since_.value_or(now);
     if (object.key == members_key) {
         apply_members(object);
         return;
@@ -122,12 +123,13 @@
     }
 }
 
-// Returns how long ago the change that is being applied may have happened.
-milliseconds deployment_view::max_change_age(time_point now) const
+milliseconds deployment_view::max_change_age(
+    const std::string& key, time_point now) const
 {
-    return changes_missed_since_ ? std::chrono::duration_cast<milliseconds>(
-                                       now - *changes_missed_since_)
-                                 : milliseconds(0);
+    const auto found = changed_since_.find(key);
+    return found == changed_since_.end()
+               ? milliseconds(0)
+               : std::chrono::duration_cast<milliseconds>(now - found->second);
 }
 
 void deployment_view::apply_server(
@@ -152,7 +154,7 @@
         }
         log_event(log_level::info, "server removed",
             {{log_key::server, name},
-                {"changed_ms_ago", max_change_age(now).count()},
+                {"changed_ms_ago", max_change_age(object.key, now).count()},
                 {"store_version", object.version.value()}});
         entries_.erase(found);
         servers_.remove(id);
@@ -167,7 +169,7 @@
                 {"draining", entry.draining},
                 {"cold_ms", entry.cold_left.count()},
                 {"started", entry.started},
-                {"changed_ms_ago", max_change_age(now).count()},
+                {"changed_ms_ago", max_change_age(object.key, now).count()},
                 {"store_version", object.version.value()}});
         entries_[id] = entry;
         const service_rule* rule =
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -66,6 +66,9 @@
     // Declares that the updates up to the next call of this function may report
     // changes that happened at any time since `since`.
     void set_changes_missed_since(std::optional<time_point> since);
+    // Returns how long ago the last change of an object may have happened, or 0
+    // if the object is not known.
+    milliseconds max_change_age(const std::string& key, time_point now) const;
     // Applies the deferred removals that are due. To be called at each tick.
     void apply_deferred_removals(time_point now);
 
@@ -146,7 +149,6 @@
     void apply_members(const versioned_object& object);
     void apply_served(
         const std::string& service, const versioned_object& object);
-    milliseconds max_change_age(time_point now) const;
     void refresh_servers(time_point now);
 
     object_cache objects_;
@@ -156,6 +158,8 @@
     std::map<backend_server_id, time_point> deferred_removals_;
     time_point defer_until_;
     std::optional<time_point> changes_missed_since_;
+    // By key, the earliest time at which the last change may have happened.
+    std::map<std::string, time_point> changed_since_;
     std::set<failure_domain_id> evacuated_;
     std::map<service_id, std::vector<served_range>> served_;
     std::vector<live_instance> members_;
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -93,7 +93,7 @@
                                 : 0;
         poll.answer_by = now + poll_wait();
         if (view_.objects().last_change() > poll.after_change) {
-            reply(poll, run_id, age);
+            reply(poll, run_id, age, now);
             return;
         }
         polls_.push_back(std::move(poll));
@@ -108,13 +108,15 @@
     }
 }
 
-void feed_server::reply(open_poll& poll, std::uint64_t run_id, feed_age age)
+void feed_server::reply(
+    open_poll& poll, std::uint64_t run_id, feed_age age, time_point now)
 {
     json objects = json::array();
     for (const versioned_object& object :
         view_.objects().changes_after(poll.after_change)) {
         objects.push_back({object.key, object.version.value(),
-            object.value ? json(*object.value) : json(nullptr)});
+            object.value ? json(*object.value) : json(nullptr),
+            view_.max_change_age(object.key, now).count()});
     }
     poll.exchange->respond(text_response(
         200, json{{"run", run_id}, {"change", view_.objects().last_change()},
@@ -132,7 +134,7 @@
     for (open_poll& poll : waiting) {
         if (now >= poll.answer_by ||
             view_.objects().last_change() > poll.after_change)
-            reply(poll, run_id, age);
+            reply(poll, run_id, age, now);
         else
             polls_.push_back(std::move(poll));
     }
@@ -255,9 +257,15 @@
 {
     const json document = json::parse(body);
     const auto run_id = document.at("run").get<std::uint64_t>();
-    if (!fresh(now))
-        view_.set_changes_missed_since(complete_until_);
+    const bool was_fresh = fresh(now);
     for (const json& row : document.at("facts")) {
+        // A coordinator of an earlier release does not send the age.
+        const milliseconds change_age(
+            row.size() > 3 ? row.at(3).get<std::int64_t>() : 0);
+        const time_point changed_since = now - change_age;
+        view_.set_changes_missed_since(
+            was_fresh ? changed_since
+                      : std::min(changed_since, complete_until_));
         versioned_object object;
         object.key = row.at(0).get<std::string>();
         object.version = object_version(row.at(1).get<std::uint64_t>());
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -51,7 +51,8 @@
 };
 
 // The coordinator's side of the feed. Guarantees that a reply holds every
-// object that has changed since the change number in the poll.
+// object that has changed since the change number in the poll, with an upper
+// bound of the age of its change.
 class feed_server
 {
 public:
@@ -85,7 +86,8 @@
         time_point answer_by;
     };
 
-    void reply(open_poll& poll, std::uint64_t run_id, feed_age age);
+    void reply(
+        open_poll& poll, std::uint64_t run_id, feed_age age, time_point now);
     // Returns how long a poll may wait for a change.
     milliseconds poll_wait() const;
 
--- /dev/null
+++ b/test/router/feed_test.cpp
@@ -0,0 +1,79 @@
+#include "net/loop.hpp"
+
+#include "router/fleet_feed.hpp"
+
+#include <gtest/gtest.h>
+
+namespace filberthub {
+namespace {
+
+using test::run_until;
+
+constexpr std::uint64_t run_id = 7;
+
+versioned_object server_object(std::uint64_t version, const std::string& state)
+{
+    return {"server/i-1", object_version(version),
+        json{{"Service", "maps"}, {"Address", "127.0.0.1:9"}, {"Zone", "a"},
+            {"Capacity", 2}, {"State", state}, {"WarmupLeftMs", 0}}
+            .dump()};
+}
+
+// A coordinator and an instance that follows it, at a time that the test sets.
+class feed_test : public testing::Test
+{
+protected:
+    feed_test()
+        : coordinator_view_(route_settings{}),
+          follower_view_(route_settings{}),
+          server_(
+              coordinator_view_, [](const instance_id&, const load_counts&) {}),
+          listener_({},
+              [this](std::shared_ptr<http_exchange> exchange) {
+                  server_.on_poll(
+                      std::move(exchange), run_id, feed_age{}, now_);
+              }),
+          client_(
+              {instance_id("follower"), {"127.0.0.1", 1}, 1}, follower_view_,
+              [] { return load_counts{}; }, [this] { return now_; })
+    {
+        listener_.listen({"127.0.0.1", 0});
+        coordinator_view_.update(server_object(1, "ready"), now_);
+        lease_record lease;
+        lease.holder = instance_id("coordinator");
+        lease.address = listener_.address();
+        lease.run_id = run_id;
+        client_.follow(lease);
+    }
+
+    const observed_server* follower_server() const
+    {
+        return follower_view_.servers().find(backend_server_id("i-1"));
+    }
+
+    time_point now_ = time_point{} + std::chrono::hours(1);
+    deployment_view coordinator_view_;
+    deployment_view follower_view_;
+    feed_server server_;
+    http_listener listener_;
+    feed_client client_;
+};
+
+// Guards against a follower that sends requests to the owner of keys for too
+// long, because the coordinator learned late that the owner is leaving.
+TEST_F(feed_test, PassesOnSinceWhenAServerMayBeLeaving)
+{
+    ASSERT_TRUE(run_until([&] { return follower_server() != nullptr; }));
+    ASSERT_TRUE(client_.fresh(now_));
+    const time_point missed_since = now_ - milliseconds(1'000);
+    coordinator_view_.set_changes_missed_since(missed_since);
+    coordinator_view_.update(server_object(2, "draining"), now_);
+    coordinator_view_.set_changes_missed_since(std::nullopt);
+    server_.flush(run_id, feed_age{}, now_);
+    ASSERT_TRUE(run_until([&] { return follower_server()->entry.draining; }));
+    ASSERT_TRUE(follower_server()->unusable_since);
+    EXPECT_LE(*follower_server()->unusable_since, missed_since);
+}
+
+} // namespace
+} // namespace filberthub
