--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr milliseconds tick_interval{100};
+// A longer delay of a tick is logged: what this process has learned and decided
+// meanwhile came late.
+constexpr milliseconds logged_tick_delay{400};
 constexpr milliseconds sweep_interval{1'000};
 // Window over which the quantiles of histograms are computed.
 constexpr milliseconds metric_window{30'000};
@@ -97,6 +100,7 @@
     void tick()
     {
         const time_point now = boot_time_now();
+        log_tick_delay(now);
         role.tick(now);
         if (now >= next_sweep) {
             next_sweep = now + sweep_interval;
@@ -110,6 +114,18 @@
             check_leaving(now);
     }
 
+    void log_tick_delay(time_point now)
+    {
+        if (last_tick && now > *last_tick + tick_interval + logged_tick_delay) {
+            log_event(log_level::warn, "event loop was delayed",
+                {{log_key::duration_ms,
+                    std::chrono::duration_cast<milliseconds>(
+                        now - *last_tick - tick_interval)
+                        .count()}});
+        }
+        last_tick = now;
+    }
+
     void check_leaving(time_point now)
     {
         if (now >= leave_started + rotation_removal_time && !draining) {
@@ -150,6 +166,7 @@
     http_listener operator_listener;
     std::shared_ptr<const route_table> limits_source;
     QTimer ticker;
+    std::optional<time_point> last_tick;
     time_point next_sweep;
     time_point next_rotate = boot_time_now() + metric_window;
     bool leaving = false;
