Refuse an answer whose length is above the limit

A server that announced a body of 999,999,999,999 bytes and began to send it ended the process with std::bad_alloc (test on the old code). With a smaller length, the process held as much as the server sent, without a limit.

Cause: the eager parser of Boost 1.74 goes on after it has found that the length of a response is above the limit, if bytes of the body are already there. It reserves the length and forgets the error. A parser that is not eager returns.

Test: ResponseDecoder.RefusesALengthAboveTheLimitWhenTheBodyFollowsAtOnce. DecodesChunksHoweverTheyAreSplit covers the other mode of the parser.

--- a/src/http/decoder.cpp
+++ b/src/http/decoder.cpp
@@ -310,7 +310,9 @@
 {
     state_->until_close = until_close;
     state_->parser.emplace();
-    state_->parser->eager(true);
+    // An eager parser of Boost 1.74 goes on to allocate the body after it has
+    // found that its length is above the limit.
+    state_->parser->eager(false);
     state_->parser->header_limit(
         static_cast<std::uint32_t>(state_->limits.head_bytes));
     state_->parser->body_limit(state_->limits.body_bytes);
--- a/test/http/decoder_test.cpp
+++ b/test/http/decoder_test.cpp
@@ -97,6 +97,10 @@
             error_kind::head_too_large},
         refused_request{"HugeBody", head + "Content-Length: 65\r\n\r\n",
             error_kind::body_too_large},
+        refused_request{"HugeBodyThatFollowsAtOnce",
+            head + "Content-Length: 999999999999\r\n\r\n" +
+                std::string(100, 'x'),
+            error_kind::body_too_large},
         refused_request{"HugeChunk",
             head + "Transfer-Encoding: chunked\r\n\r\nffffff\r\n" +
                 std::string(100, 'x'),
@@ -156,6 +160,36 @@
     return std::nullopt;
 }
 
+// Guards against memory for a length above the limit: the process ended, or
+// held as much as the server sent.
+TEST(ResponseDecoder, RefusesALengthAboveTheLimitWhenTheBodyFollowsAtOnce)
+{
+    EXPECT_EQ(response_error(
+                  "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\na"),
+        error_kind::bad_backend_answer);
+}
+
+// Guards against a decoder that stops at the border of two reads.
+TEST(ResponseDecoder, DecodesChunksHoweverTheyAreSplit)
+{
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nA: b\r\n\r\n";
+    for (std::size_t size = 1; size <= bytes.size(); ++size) {
+        response_decoder decoder({});
+        decoder.begin(false);
+        std::optional<http_response> response;
+        for (std::size_t at = 0; at < bytes.size(); at += size) {
+            ASSERT_FALSE(response);
+            decoder.feed(bytes.substr(at, size));
+            response = decoder.next();
+        }
+        ASSERT_TRUE(response) << size;
+        EXPECT_EQ(response->body, "abcde");
+        EXPECT_FALSE(decoder.has_excess());
+    }
+}
+
 // A truncated response without a length would look complete.
 TEST(ResponseDecoder, RefusesAResponseWithoutLengthOrChunks)
 {
