Limit the lines between the chunks of a message

Cause: the parser consumes such lines only as a whole, and neither the limit of the head nor that of the body counts them. What is not consumed may now have the size of a head.

Tests, each seen to fail before: ResponseDecoder.RefusesEndlessLinesBetweenChunks, RefusedRequests HugeChunkExtension and HugeTrailer.

--- a/src/http/decoder.cpp
+++ b/src/http/decoder.cpp
@@ -118,8 +118,11 @@
 }
 
 // Passes `input` to `parser` and removes the bytes that the parser consumed.
+// The parser consumes a chunk head or a trailer only as a whole and does not
+// limit them, so that one of more than `line_limit` bytes is an error.
 template <class Parser>
-boost::beast::error_code parse_input(Parser& parser, std::string& input)
+boost::beast::error_code parse_input(
+    Parser& parser, std::string& input, std::size_t line_limit)
 {
     std::size_t consumed = 0;
     boost::beast::error_code code;
@@ -131,6 +134,8 @@
         consumed += step;
         if (code == beast_http::error::need_more) {
             code = {};
+            if (input.size() - consumed > line_limit)
+                code = beast_http::error::header_limit;
             break;
         }
         if (code || step == 0)
@@ -216,7 +221,8 @@
             return std::nullopt;
     }
     const bool had_head = self.parser->is_header_done();
-    self.check_parse_result(parse_input(*self.parser, self.input));
+    self.check_parse_result(
+        parse_input(*self.parser, self.input, self.limits.head_bytes));
     if (!had_head && self.parser->is_header_done()) {
         const auto& head = self.parser->get();
         check_length_fields(copy_headers(head), error_kind::bad_request);
@@ -343,7 +349,8 @@
         self.check_head(std::string_view(self.input).substr(0, *length));
     }
     const bool had_head = self.parser->is_header_done();
-    const boost::beast::error_code code = parse_input(*self.parser, self.input);
+    const boost::beast::error_code code =
+        parse_input(*self.parser, self.input, self.limits.head_bytes);
     if (code) {
         throw error(error_kind::bad_backend_answer,
             "the answer is not valid HTTP/1.1: " + code.message());
--- a/test/http/decoder_test.cpp
+++ b/test/http/decoder_test.cpp
@@ -101,6 +101,14 @@
             head + "Content-Length: 999999999999\r\n\r\n" +
                 std::string(100, 'x'),
             error_kind::body_too_large},
+        refused_request{"HugeChunkExtension",
+            head + "Transfer-Encoding: chunked\r\n\r\n1;x=" +
+                std::string(2000, 'x'),
+            error_kind::bad_request},
+        refused_request{"HugeTrailer",
+            head + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " +
+                std::string(2000, 'x'),
+            error_kind::bad_request},
         refused_request{"HugeChunk",
             head + "Transfer-Encoding: chunked\r\n\r\nffffff\r\n" +
                 std::string(100, 'x'),
@@ -169,6 +177,20 @@
         error_kind::bad_backend_answer);
 }
 
+// Guards against a chunk head or a trailer that never ends and fills the
+// memory.
+TEST(ResponseDecoder, RefusesEndlessLinesBetweenChunks)
+{
+    const std::string start =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string rest(http_limits{}.head_bytes + 1, '0');
+    for (const char* line : {"", "1;a=", "0\r\nA: "}) {
+        EXPECT_EQ(
+            response_error(start + line + rest), error_kind::bad_backend_answer)
+            << line;
+    }
+}
+
 // Guards against a decoder that stops at the border of two reads.
 TEST(ResponseDecoder, DecodesChunksHoweverTheyAreSplit)
 {
