Fail a call whose server only answers other requests

A server that repeats answers with the ids of other requests without end kept the caller waiting until its deadline, while the process decoded all of them.

A late answer to an earlier request is expected and dropped; after three of them the call fails, and its connection is closed.

Test: endless_answers.FailTheCallAndCloseTheConnection; AnswersToOtherRequests failed before (no result after 10 s).

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -12,6 +12,9 @@
 // A connection is not used during this time before the server's idle timeout,
 // because the server may close it while a request is on the way.
 constexpr milliseconds idle_margin{1'000};
+// Late or repeated responses to earlier requests that are dropped while a call
+// waits for its own. A server that sends more is faulty.
+constexpr int max_foreign_responses = 3;
 
 // Returns the idle timeout in the `Keep-Alive` field, if there is one.
 std::optional<milliseconds> announced_idle_time(const http_response& response)
@@ -105,6 +108,7 @@
     {
         number_ = number;
         busy_ = true;
+        foreign_responses_ = 0;
         call.connection = this;
         call.started = std::chrono::steady_clock::now();
         head_request_ = request.method == "HEAD";
@@ -186,6 +190,10 @@
                     complete(std::move(*response));
                     return;
                 }
+                if (++foreign_responses_ > max_foreign_responses) {
+                    throw error(error_kind::bad_backend_answer,
+                        "the server responded to other requests only");
+                }
                 decoder_.begin(
                     head_request_, client_.options_.allow_close_delimited);
             }
@@ -277,6 +285,7 @@
     std::string expected_echo_;
     bool head_request_ = false;
     call_number number_;
+    int foreign_responses_ = 0;
     bool connected_ = false;
     bool busy_ = false;
     bool closed_ = false;
