Bound the incomplete answers of all servers together

Several servers that answer without end could fill the memory of a process, which the platform then kills: one body in chunks took 75 MB at its peak before it met the limit of 32 MB for one answer (net_test, Chunks), and the smallest instances have 112 MB.

All clients of backend servers share a budget of an eighth of the memory that the process may use, a new setting that the template fills in. If it is exceeded, the largest incomplete answer is given up and its connection closed. A lower limit for each answer would not bound the sum and would refuse large answers of servers in good health.

Tests: AnswerBudget.EndsTheLargestAnswerOfAllServers (no budget existed before), AnswerBudget.ForgetsRemovedHolders.

--- a/include/filberthub/http/decoder.hpp
+++ b/include/filberthub/http/decoder.hpp
@@ -92,6 +92,9 @@
     // the response if the close completes it.
     std::optional<http_response> finish();
 
+    // Returns the number of bytes held for an incomplete response.
+    std::size_t buffered() const;
+
     // Returns whether there are bytes after the response or without a request.
     // Such a connection must not be used again.
     bool has_excess() const;
--- a/include/filberthub/net/http_client.hpp
+++ b/include/filberthub/net/http_client.hpp
@@ -15,6 +15,7 @@
 #include <filberthub/base/error.hpp>
 #include <filberthub/base/types.hpp>
 #include <filberthub/http/decoder.hpp>
+#include <filberthub/net/answer_budget.hpp>
 
 #include <QtCore/QObject>
 #include <QtCore/QTimer>
@@ -70,6 +71,9 @@
     // server may be closing it. The `Keep-Alive` field of a response shortens
     // it.
     milliseconds idle_limit{60'000};
+    // Bounds the incomplete responses of all clients that share it. Without
+    // one, each response is bounded by `limits` only.
+    std::shared_ptr<answer_budget> budget;
 };
 
 inline constexpr const char* exchange_header = "Filberthub-Exchange";
--- a/include/filberthub/router/route_settings.hpp
+++ b/include/filberthub/router/route_settings.hpp
@@ -33,6 +33,8 @@
     endpoint store;
     // Share of one processor core that this process may use.
     double processor_share = 1;
+    // Memory that this process may use.
+    std::size_t memory_bytes = std::size_t{512} * 1024 * 1024;
     // Limits that the operator of the platform sets.
     platform_api::operator_bounds bounds;
     std::string log_output = "stdout";
--- a/src/http/decoder.cpp
+++ b/src/http/decoder.cpp
@@ -382,6 +382,13 @@
     return self.take_response();
 }
 
+std::size_t response_decoder::buffered() const
+{
+    const std::size_t body =
+        state_->parser ? state_->parser->get().body().size() : 0;
+    return body + state_->input.size();
+}
+
 bool response_decoder::has_excess() const
 {
     return !state_->parser && !state_->input.empty();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -48,7 +48,8 @@
           decoder_(client.options_.limits),
           connect_deadline_(std::chrono::steady_clock::now() +
                             client.options_.connect_timeout),
-          idle_limit_(client.options_.idle_limit)
+          idle_limit_(client.options_.idle_limit),
+          budget_(client.options_.budget)
     {
         connect(socket_, &QTcpSocket::connected, this, [this] {
             socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -71,6 +72,11 @@
             client.address_.port);
     }
 
+    ~client_connection() override
+    {
+        release();
+    }
+
     bool ready() const
     {
         return connected_ && !busy_ && !closed_;
@@ -140,6 +146,7 @@
         const bool was_connected = connected_;
         const bool was_busy = busy_;
         const call_number number = number_;
+        release();
         client_.remove(this, reset && was_connected);
         deleteLater();
         if (was_busy) {
@@ -157,6 +164,8 @@
     void release()
     {
         busy_ = false;
+        if (budget_)
+            budget_->remove(this);
     }
 
 private:
@@ -184,6 +193,26 @@
         }
         decoder_.feed(
             {bytes.constData(), static_cast<std::size_t>(bytes.size())});
+        decode();
+        if (busy_ && budget_) {
+            budget_->set(this, decoder_.buffered(), [this, number = number_] {
+                QTimer::singleShot(
+                    0, this, [this, number] { give_up(number); });
+            });
+        }
+    }
+
+    void give_up(call_number number)
+    {
+        if (busy_ && number_ == number) {
+            fail(error(error_kind::bad_backend_answer,
+                "the incomplete answers of all servers take too much memory, "
+                "and this one takes the most"));
+        }
+    }
+
+    void decode()
+    {
         try {
             while (std::optional<http_response> response = decoder_.next()) {
                 if (belongs_to_call(*response)) {
@@ -234,7 +263,7 @@
         const bool reusable = response.keep_alive && !decoder_.has_excess();
         const call_number number = number_;
         check_exchange_number(response);
-        busy_ = false;
+        release();
         last_used_ = std::chrono::steady_clock::now();
         if (const auto idle = announced_idle_time(response)) {
             idle_limit_ = std::min(client_.options_.idle_limit,
@@ -267,7 +296,7 @@
     void fail(const error& failure)
     {
         const call_number number = number_;
-        busy_ = false;
+        release();
         http_client& client = client_;
         close("faulty answer", false);
         client.finish(number, {.response = std::nullopt,
@@ -282,6 +311,8 @@
     time_point connect_deadline_;
     time_point last_used_;
     milliseconds idle_limit_;
+    // Kept here because the connection may outlive its client.
+    std::shared_ptr<answer_budget> budget_;
     std::string expected_echo_;
     bool head_request_ = false;
     call_number number_;
--- a/src/router/backend_connections.cpp
+++ b/src/router/backend_connections.cpp
@@ -16,11 +16,17 @@
 // just joined.
 constexpr double used_connection_share = 0.85;
 constexpr std::size_t min_connections = 2;
+// Part of the memory of this process for incomplete answers. The buffers of an
+// answer take up to three times its bytes while they grow.
+constexpr std::size_t answer_memory_divisor = 8;
 
 } // namespace
 
-backend_connections::backend_connections(const deployment_view& view)
-    : view_(view)
+backend_connections::backend_connections(
+    const deployment_view& view, std::size_t memory_bytes)
+    : view_(view),
+      budget_(
+          std::make_shared<answer_budget>(memory_bytes / answer_memory_divisor))
 {}
 
 std::size_t backend_connections::connections_for(
@@ -54,6 +60,7 @@
         options.connect_timeout = connect_timeout;
         options.echoed_field = platform_api::header::request_id;
         options.idle_limit = idle_limit;
+        options.budget = budget_;
         client = std::make_unique<http_client>(server->entry.address, options);
     }
     client->set_max_connections(connections);
--- a/src/router/route_settings.cpp
+++ b/src/router/route_settings.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t bytes_per_megabyte = 1'048'576;
+constexpr std::int64_t max_memory_megabytes = 1'048'576;
 
 double read_positive_number(json_reader& reader, const std::string& field)
 {
@@ -38,6 +40,11 @@
     settings.operators = {address, static_cast<std::uint16_t>(reader.integer(
                                        "operator_port", 1, max_port))};
     settings.processor_share = read_positive_number(reader, "processor_share");
+    if (reader.has("memory_megabytes")) {
+        settings.memory_bytes = static_cast<std::size_t>(
+            reader.integer("memory_megabytes", 1, max_memory_megabytes) *
+            bytes_per_megabyte);
+    }
     reader.integer_or("server_heartbeat_ms", 1, 1'000'000, 1'000);
     settings.bounds = platform_api::decode_bounds(reader.value("bounds"));
     if (reader.has("log")) {
--- a/test/net/endless_answer_test.cpp
+++ b/test/net/endless_answer_test.cpp
@@ -112,5 +112,53 @@
             "BodyWithoutALength", "HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaa"}),
     [](const auto& values) { return values.param.name; });
 
+// Guards against servers whose endless answers together fill the memory of the
+// process, while each of them is still below the limit of one answer.
+TEST(AnswerBudget, EndsTheLargestAnswerOfAllServers)
+{
+    endless_server endless(
+        {"Chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "00a\r\naaaaaaaaaa\r\n"});
+    endless_server unfinished(
+        {"Unfinished", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", ""});
+    http_client_options options;
+    options.max_connections = 4;
+    options.budget = std::make_shared<answer_budget>(std::size_t{1'000'000});
+    http_client endless_client(endless.address(), options);
+    http_client unfinished_client(unfinished.address(), options);
+    constexpr milliseconds deadline(60'000);
+    int failed = 0;
+    for (int count = 0; count < 4; ++count) {
+        endless_client.send({}, deadline, [&](const http_result& result) {
+            EXPECT_EQ(result.kind, error_kind::bad_backend_answer);
+            ++failed;
+        });
+    }
+    bool unfinished_failed = false;
+    unfinished_client.send(
+        {}, deadline, [&](const http_result&) { unfinished_failed = true; });
+    ASSERT_TRUE(run_until([&] { return failed == 4; }));
+    EXPECT_LE(options.budget->total(), 1'000'000U);
+    EXPECT_FALSE(unfinished_failed);
+}
+
+// Guards against bytes that stay counted after the answer has ended.
+TEST(AnswerBudget, ForgetsRemovedHolders)
+{
+    answer_budget budget(10);
+    int dropped = 0;
+    const int holders[3] = {};
+    const auto drop = [&] { ++dropped; };
+    budget.set(&holders[0], 6, drop);
+    budget.remove(&holders[0]);
+    budget.set(&holders[1], 4, drop);
+    budget.set(&holders[1], 6, drop);
+    EXPECT_EQ(dropped, 0);
+    EXPECT_EQ(budget.total(), 6U);
+    budget.set(&holders[2], 5, drop);
+    EXPECT_EQ(dropped, 1);
+    EXPECT_EQ(budget.total(), 5U);
+}
+
 } // namespace
 } // namespace filberthub
