Read gate messages for a bounded time in each turn

Cause: the instance hosted the gate of an overloaded group. It read messages until none was left, and with 0.07 of a core they arrived as fast as it handled them. In this time it handled nothing else: its lines are decisions of gates only, timers were 1.5 s late, and it applied the news of the coordinator 2.5 s after the others.

Change: at most 10 ms of a turn are for messages.

Ruled out: the network (the timers of the process were late too) and the feed (the other instances had the change within 0.3 s).

--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -25,6 +25,9 @@
 // Interval of sweeps while requests wait at a gate of this instance; ten times
 // as long when none do.
 constexpr milliseconds sweep_interval{40};
+// Time for messages in one turn of the event loop. Under overload they arrive
+// faster than a small processor handles them.
+constexpr milliseconds max_reading_time{10};
 
 // Kinds of messages, the first element of each.
 // [1, number, service, group, owner or "", urgency, ms to the target time,
@@ -53,6 +56,9 @@
 {
     connect(
         &socket_, &QUdpSocket::readyRead, this, [this] { read_datagrams(); });
+    reading_timer_.setSingleShot(true);
+    connect(
+        &reading_timer_, &QTimer::timeout, this, [this] { read_datagrams(); });
     deadline_timer_.setSingleShot(true);
     connect(&deadline_timer_, &QTimer::timeout, this,
         [this] { check_deadlines(); });
@@ -70,6 +76,11 @@
     }
 }
 
+endpoint gate_service::address() const
+{
+    return {settings_.peers.address, socket_.localPort()};
+}
+
 // Weighted rendezvous hashing: instances with a larger share of a processor
 // host proportionally more gates.
 const live_instance* gate_service::find_gate_host(
@@ -161,7 +172,12 @@
 
 void gate_service::read_datagrams()
 {
+    const time_point end = clock_() + max_reading_time;
     while (socket_.hasPendingDatagrams()) {
+        if (clock_() >= end) {
+            reading_timer_.start(0);
+            return;
+        }
         const QNetworkDatagram datagram = socket_.receiveDatagram();
         const QByteArray bytes = datagram.data();
         const endpoint sender{
--- a/src/router/gate_service.hpp
+++ b/src/router/gate_service.hpp
@@ -55,6 +55,9 @@
     // Opens the socket. Throws `error` of kind `bad_settings`.
     void start();
 
+    // The address of the socket.
+    endpoint address() const;
+
     // Requests a slot and returns the number of the request, or nothing if the
     // gate is not reachable at present. `request.id` and `request.group` are
     // set here. `on_reply` is called once, after this call has returned, unless
@@ -105,6 +108,8 @@
     // No slots are requested at these addresses until then.
     std::map<endpoint, time_point> unreachable_until_;
     std::uint64_t last_number_ = 0;
+    // Continues to read after a turn in which not all messages were handled.
+    QTimer reading_timer_;
     QTimer deadline_timer_;
     QTimer sweep_timer_;
 };
