Give the keys of a server new tokens when it closes a connection

Cause: the coordinator heard of a restart only from the store. A restart ends the connections of the server, which the coordinator did not regard.

Change: when a server ends or resets a connection of the coordinator, its ranges get no more commands until a table with new tokens is committed. A connection that ends for another reason costs one write of the table. A coordinator that cannot write stops granting to this server, which is what keeps its successor right.

Ruled out: a check of the incarnation in each grant, which the servers' interface does not have.

Test: KeyGranter.NeedsANewTokenAfterALostConnection.

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -88,6 +88,12 @@
     // no longer holds any keys.
     void on_incarnation_ended(const server_incarnation& server);
 
+    // To be called when the server ended or reset a connection, which may mean
+    // that it has restarted under its id. Its keys need new tokens, as a new
+    // incarnation must not get them with the token of an earlier one. Returns
+    // whether the server owns keys.
+    bool on_connection_lost(const backend_server_id& server);
+
     // Returns the commands to send now. `on_reply` has to be called once for
     // each of them.
     std::vector<grant_command> due(time_point now);
@@ -98,7 +104,8 @@
     std::vector<key_range> granted() const;
     // Whether the owner of the range with this token has accepted it.
     bool is_granted(fencing_token token) const;
-    // Tokens that a server refused as outdated. Their ranges need new tokens.
+    // Tokens that a server refused as outdated, or that it may have had in an
+    // earlier incarnation. Their ranges need new tokens.
     std::set<fencing_token> outdated() const;
     // Number of unanswered commands to this server since its last answer.
     unsigned unanswered(const server_incarnation& server) const;
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -313,10 +313,26 @@
         if (client)
             client.release()->deleteLater();
         client = std::make_unique<http_client>(server->entry.address, options);
+        client->on_reset([this, alive = alive_, id] {
+            if (*alive)
+                on_connection_lost(id);
+        });
     }
     return *client;
 }
 
+void ownership_controller::on_connection_lost(const backend_server_id& id)
+{
+    for (auto& [service, ownership] : services_) {
+        if (ownership.keys.granter().on_connection_lost(id)) {
+            log_event(log_level::info,
+                "server closed a connection; its keys get new tokens",
+                {{log_key::server, id.value()},
+                    {log_key::service, service.value()}});
+        }
+    }
+}
+
 void ownership_controller::send_command(
     const service_id& id, const grant_command& command)
 {
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -67,6 +67,7 @@
     void publish(
         const service_id& id, service_ownership& service, time_point now);
     void end_stale_incarnations(service_ownership& service);
+    void on_connection_lost(const backend_server_id& id);
     http_client& client_of(const backend_server_id& id);
 
     const route_settings& settings_;
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -155,6 +155,18 @@
     unanswered_.erase(server);
 }
 
+bool key_granter::on_connection_lost(const backend_server_id& server)
+{
+    bool owns_keys = false;
+    for (auto& [token, state] : states_) {
+        if (state.range.owner.id == server) {
+            state.outdated = true;
+            owns_keys = true;
+        }
+    }
+    return owns_keys;
+}
+
 void key_granter::remove_ended_holders(range_state& state, time_point now) const
 {
     std::erase_if(state.earlier_holders, [&](const earlier_holder& holder) {
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -63,6 +63,21 @@
     EXPECT_FALSE(only_command(750).release);
 }
 
+// Guards against a server that restarted under its id and gets its keys with
+// the token of its earlier incarnation.
+TEST_F(KeyGranter, NeedsANewTokenAfterALostConnection)
+{
+    grant_first();
+    EXPECT_TRUE(granter_.on_connection_lost(backend_server_id("a")));
+    EXPECT_THAT(granter_.due(at_ms(750)), IsEmpty());
+    EXPECT_THAT(granter_.outdated(), SizeIs(1));
+
+    granter_.adopt(table_of({range_of(0, key_count - 1, "a", 2)}), at_ms(800));
+    const grant_command grant = only_command(800);
+    EXPECT_EQ(grant.token, fencing_token(2));
+    EXPECT_FALSE(granter_.on_connection_lost(backend_server_id("b")));
+}
+
 // Guards against two owners: the new owner must not be granted keys that the
 // old one has not released.
 TEST_F(KeyGranter, GrantsAMovedKeyOnlyAfterItsRelease)
