--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -9,11 +9,7 @@
 namespace filberthub {
 namespace {
 
-using platform_api::object_kind;
-using platform_api::store_outcome;
-
 constexpr milliseconds plan_interval{250};
-constexpr milliseconds table_read_retry{400};
 constexpr milliseconds grant_timeout{400};
 // A server answers a release after the running requests for the keys have
 // ended.
@@ -68,39 +64,6 @@
     *alive_ = false;
 }
 
-void ownership_controller::read_tables()
-{
-    table_read_open_ = true;
-    store_.call(platform_api::list_call(object_kind::key_ownership, ""),
-        [this, alive = alive_](store_outcome outcome, const std::string& body) {
-            if (!*alive)
-                return;
-            table_read_open_ = false;
-            next_table_read_ = clock_() + table_read_retry;
-            if (outcome == store_outcome::not_found) {
-                tables_read_ = true;
-                return;
-            }
-            if (outcome != store_outcome::done)
-                return;
-            try {
-                const auto page =
-                    platform_api::decode_list(object_kind::key_ownership, body);
-                for (const versioned_object& object : page.objects) {
-                    const auto name = platform_api::object_name(
-                        object_kind::key_ownership, object.key);
-                    stored_tables_[service_id(*name)] = {
-                        key_table::from_text(*object.value),
-                        platform_api::store_revision_of(object.version)};
-                }
-                tables_read_ = true;
-            } catch (const error& failure) {
-                log_event(log_level::error, "ownership tables are malformed",
-                    {{log_key::error, failure.what()}});
-            }
-        });
-}
-
 void ownership_controller::start_services(time_point now)
 {
     const auto routes = view_.routes();
@@ -201,85 +164,6 @@
         write(id, *next);
 }
 
-void ownership_controller::write(const service_id& id, const table_write& table)
-{
-    const std::string& name = id.value();
-    http_request request =
-        table.base_revision == 0
-            ? platform_api::create_call(
-                  object_kind::key_ownership, name, table.text)
-            : platform_api::replace_call(object_kind::key_ownership, name,
-                  table.base_revision, table.text);
-    store_.call(
-        std::move(request), [this, alive = alive_, id](store_outcome outcome,
-                                const std::string& body) {
-            if (*alive)
-                on_write_reply(id, outcome, body);
-        });
-}
-
-void ownership_controller::on_write_reply(
-    const service_id& id, store_outcome outcome, const std::string& body)
-{
-    service_ownership& service = services_.at(id);
-    if (outcome == store_outcome::refused) {
-        service.keys.on_write_failed();
-        return;
-    }
-    if (outcome != store_outcome::done) {
-        // The write may have succeeded; reading the object decides.
-        service.needs_read_back = true;
-        return;
-    }
-    try {
-        const auto object = platform_api::decode_object(body);
-        service.keys.on_written(object.store_revision, clock_());
-        log_event(log_level::info, "ownership table committed",
-            {{log_key::service, id.value()},
-                {"ranges", service.keys.table().ranges.size()},
-                {"store_version", object.store_revision}});
-        advance(clock_());
-    } catch (const error& failure) {
-        log_event(log_level::warn, "reply to a table write is malformed",
-            {{log_key::error, failure.what()}});
-        service.needs_read_back = true;
-    }
-}
-
-void ownership_controller::read_back(const service_id& id)
-{
-    service_ownership& service = services_.at(id);
-    service.needs_read_back = false;
-    store_.call(platform_api::read_call(object_kind::key_ownership, id.value()),
-        [this, alive = alive_, id](
-            store_outcome outcome, const std::string& body) {
-            if (!*alive)
-                return;
-            service_ownership& current = services_.at(id);
-            if (outcome == store_outcome::not_found) {
-                current.keys.on_write_failed();
-                return;
-            }
-            if (outcome != store_outcome::done) {
-                current.needs_read_back = true;
-                return;
-            }
-            try {
-                const auto object = platform_api::decode_object(body);
-                const key_table table = key_table::from_text(object.content);
-                if (table.text() == current.keys.pending_text()) {
-                    current.keys.on_written(object.store_revision, clock_());
-                } else {
-                    current.keys.on_write_failed();
-                }
-            } catch (const error& failure) {
-                log_event(log_level::warn, "ownership table is malformed",
-                    {{log_key::error, failure.what()}});
-                current.needs_read_back = true;
-            }
-        });
-}
-
 void ownership_controller::send_commands(
     const service_id& id, service_ownership& service, time_point now)
 {
