--- /dev/null
+++ b/src/net/client_connection.hpp
@@ -0,0 +1,332 @@
+// One connection of `http_client`. Internal to `net`.
+//
+//     auto* connection = new client_connection(client);
+//     if (connection->ready())
+//         connection->start(number, call, request);
+
+#ifndef FILBERTHUB_NET_CLIENT_CONNECTION_HPP
+#define FILBERTHUB_NET_CLIENT_CONNECTION_HPP
+
+#include <filberthub/net/http_client.hpp>
+
+#include <QtNetwork/QHostAddress>
+#include <QtNetwork/QTcpSocket>
+
+#include <algorithm>
+#include <charconv>
+
+namespace filberthub::detail {
+
+// A connection is not used during this time before the server's idle timeout,
+// because the server may close it while a request is on the way.
+inline constexpr milliseconds idle_margin{1'000};
+// Late or repeated responses to earlier requests that are dropped while a call
+// waits for its own. A server that sends more is faulty.
+inline constexpr int max_foreign_responses = 3;
+
+// Returns the idle timeout in the `Keep-Alive` field, if there is one.
+inline std::optional<milliseconds> announced_idle_time(
+    const http_response& response)
+{
+    const auto field = response.headers.get("Keep-Alive");
+    if (!field)
+        return std::nullopt;
+    const std::size_t position = field->find("timeout=");
+    if (position == std::string_view::npos)
+        return std::nullopt;
+    long seconds = 0;
+    const char* begin = field->data() + position + 8;
+    const auto parsed =
+        std::from_chars(begin, field->data() + field->size(), seconds);
+    if (parsed.ec != std::errc() || seconds < 0)
+        return std::nullopt;
+    return milliseconds(seconds * 1000);
+}
+
+// One connection to the server. It carries at most one call at a time.
+class client_connection : public QObject
+{
+public:
+    explicit client_connection(http_client& client)
+        : client_(client),
+          socket_(new QTcpSocket(this)),
+          decoder_(client.options_.limits),
+          connect_deadline_(std::chrono::steady_clock::now() +
+                            client.options_.connect_timeout),
+          idle_limit_(client.options_.idle_limit),
+          budget_(client.options_.budget)
+    {
+        connect(socket_, &QTcpSocket::connected, this, [this] {
+            socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+            connected_ = true;
+            last_used_ = std::chrono::steady_clock::now();
+            client_.dispatch();
+        });
+        connect(
+            socket_, &QTcpSocket::readyRead, this, [this] { on_readable(); });
+        connect(socket_, &QTcpSocket::errorOccurred, this,
+            [this](QAbstractSocket::SocketError code) {
+                if (code == QAbstractSocket::RemoteHostClosedError)
+                    complete_at_close();
+                close(socket_->errorString().toStdString(), true);
+            });
+        connect(socket_, &QTcpSocket::disconnected, this,
+            [this] { close("the server closed the connection", true); });
+        socket_->connectToHost(
+            QHostAddress(QString::fromStdString(client.address_.address)),
+            client.address_.port);
+    }
+
+    ~client_connection() override
+    {
+        release();
+    }
+
+    bool ready() const
+    {
+        return connected_ && !busy_ && !closed_;
+    }
+
+    bool connecting() const
+    {
+        return !connected_ && !closed_;
+    }
+
+    // Returns whether the connection was idle for so long that the server may
+    // be closing it.
+    bool stale(time_point now) const
+    {
+        return ready() && now >= last_used_ + idle_limit_;
+    }
+
+    time_point last_used() const
+    {
+        return last_used_;
+    }
+
+    time_point connect_deadline() const
+    {
+        return connect_deadline_;
+    }
+
+    bool connect_expired(time_point now) const
+    {
+        return connecting() && now > connect_deadline_;
+    }
+
+    void start(
+        call_number number, http_client::call& call, http_request request)
+    {
+        number_ = number;
+        busy_ = true;
+        foreign_responses_ = 0;
+        call.connection = this;
+        call.started = std::chrono::steady_clock::now();
+        head_request_ = request.method == "HEAD";
+        if (!client_.options_.echoed_field.empty()) {
+            expected_echo_ =
+                std::string(request.headers.get(client_.options_.echoed_field)
+                                .value_or(""));
+        }
+        decoder_.begin(head_request_, client_.options_.allow_close_delimited);
+        if (client_.options_.number_exchanges) {
+            request.headers.set(
+                exchange_header, std::to_string(number.value()));
+        }
+        if (!request.headers.get("Host"))
+            request.headers.set("Host", to_string(client_.address_));
+        const std::string bytes = encode(request);
+        socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
+    }
+
+    // Closes the connection. The call on it fails, unless it was released
+    // before. `reset` states that the server ended the connection.
+    void close(const std::string& reason, bool reset)
+    {
+        if (closed_)
+            return;
+        closed_ = true;
+        socket_->disconnect(this);
+        socket_->abort();
+        const bool was_connected = connected_;
+        const bool was_busy = busy_;
+        const call_number number = number_;
+        release();
+        client_.remove(this, reset && was_connected);
+        deleteLater();
+        if (was_busy) {
+            client_.finish(number, {.response = std::nullopt,
+                                       .kind = error_kind::outcome_unknown,
+                                       .message = reason,
+                                       .sent = true});
+        } else if (!was_connected) {
+            fail_oldest_waiting(reason);
+        }
+        client_.dispatch();
+    }
+
+    // Detaches the call, so that `close` does not report it as failed.
+    void release()
+    {
+        busy_ = false;
+        if (budget_)
+            budget_->remove(this);
+    }
+
+private:
+    // Fails the oldest waiting call. No byte of it was sent.
+    void fail_oldest_waiting(const std::string& reason)
+    {
+        if (client_.waiting_.empty())
+            return;
+        const call_number number = client_.waiting_.front();
+        client_.waiting_.pop_front();
+        client_.finish(
+            number, {.response = std::nullopt,
+                        .kind = error_kind::overloaded,
+                        .message = "no connection to " +
+                                   to_string(client_.address_) + ": " + reason,
+                        .sent = false});
+    }
+
+    void on_readable()
+    {
+        const QByteArray bytes = socket_->readAll();
+        if (!busy_) {
+            close("the server sent bytes without a request", false);
+            return;
+        }
+        decoder_.feed(
+            {bytes.constData(), static_cast<std::size_t>(bytes.size())});
+        decode();
+        if (busy_ && budget_) {
+            budget_->set(this, decoder_.buffered(), [this, number = number_] {
+                QTimer::singleShot(
+                    0, this, [this, number] { give_up(number); });
+            });
+        }
+    }
+
+    void give_up(call_number number)
+    {
+        if (busy_ && number_ == number) {
+            fail(error(error_kind::bad_backend_answer,
+                "the incomplete answers of all servers take too much memory, "
+                "and this one takes the most"));
+        }
+    }
+
+    void decode()
+    {
+        try {
+            while (std::optional<http_response> response = decoder_.next()) {
+                if (belongs_to_call(*response)) {
+                    complete(std::move(*response));
+                    return;
+                }
+                if (++foreign_responses_ > max_foreign_responses) {
+                    throw error(error_kind::bad_backend_answer,
+                        "the server responded to other requests only");
+                }
+                decoder_.begin(
+                    head_request_, client_.options_.allow_close_delimited);
+            }
+        } catch (const error& failure) {
+            fail(failure);
+        }
+    }
+
+    // Returns whether the response is for the call in flight, and not a second
+    // one for an earlier call.
+    bool belongs_to_call(const http_response& response) const
+    {
+        const std::string& field = client_.options_.echoed_field;
+        if (field.empty() || expected_echo_.empty())
+            return true;
+        const auto echo = response.headers.get(field);
+        return !echo || *echo == expected_echo_;
+    }
+
+    // Completes a response that ends with its connection.
+    void complete_at_close()
+    {
+        if (closed_ || !busy_)
+            return;
+        if (socket_->bytesAvailable() > 0)
+            on_readable();
+        if (closed_ || !busy_)
+            return;
+        std::optional<http_response> response = decoder_.finish();
+        if (!response || !belongs_to_call(*response))
+            return;
+        response->keep_alive = false;
+        complete(std::move(*response));
+    }
+
+    void complete(http_response response)
+    {
+        const bool reusable = response.keep_alive && !decoder_.has_excess();
+        const call_number number = number_;
+        check_exchange_number(response);
+        release();
+        last_used_ = std::chrono::steady_clock::now();
+        if (const auto idle = announced_idle_time(response)) {
+            idle_limit_ = std::min(client_.options_.idle_limit,
+                std::max(*idle - idle_margin, milliseconds(0)));
+        }
+        if (!reusable)
+            close("not reusable", false);
+        client_.finish(number, {.response = std::move(response),
+                                   .kind = error_kind::internal,
+                                   .message = {},
+                                   .sent = true});
+        client_.dispatch();
+    }
+
+    // Throws if the response has the exchange number of another request: it
+    // came late, or the server mixed up its responses.
+    void check_exchange_number(http_response& response) const
+    {
+        if (!client_.options_.number_exchanges)
+            return;
+        const auto seen = response.headers.get(exchange_header);
+        if (seen && *seen != std::to_string(number_.value())) {
+            throw error(error_kind::bad_backend_answer,
+                "the answer has exchange number " + std::string(*seen) +
+                    ", expected " + std::to_string(number_.value()));
+        }
+        response.headers.remove(exchange_header);
+    }
+
+    void fail(const error& failure)
+    {
+        const call_number number = number_;
+        release();
+        http_client& client = client_;
+        close("faulty answer", false);
+        client.finish(number, {.response = std::nullopt,
+                                  .kind = failure.kind(),
+                                  .message = failure.what(),
+                                  .sent = true});
+    }
+
+    http_client& client_;
+    QTcpSocket* socket_;
+    response_decoder decoder_;
+    time_point connect_deadline_;
+    time_point last_used_;
+    milliseconds idle_limit_;
+    // Kept here because the connection may outlive its client.
+    std::shared_ptr<answer_budget> budget_;
+    std::string expected_echo_;
+    bool head_request_ = false;
+    call_number number_;
+    int foreign_responses_ = 0;
+    bool connected_ = false;
+    bool busy_ = false;
+    bool closed_ = false;
+};
+
+} // namespace filberthub::detail
+
+#endif
