--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,4 +24,6 @@
     echo 1
     grep -o '^[0-9]*' scripts/soak/regressions.txt
 } | xargs -P 2 -I{} bash scripts/soak.sh --seed {}
+bash scripts/soak.sh --seed 3 --scarce-connections \
+    --only slow_servers_leave_and_stay
 bash scripts/check_deploy.sh
