Use nothing of a connection after its call has ended

on_readable looked at the connection after the callback of its call, which may destroy the client and with it the connection. No case is known: the users of http_client defer it. Found by reading.

--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -198,8 +198,7 @@
         }
         decoder_.feed(
             {bytes.constData(), static_cast<std::size_t>(bytes.size())});
-        decode();
-        if (busy_ && budget_) {
+        if (decode() && budget_) {
             budget_->set(this, decoder_.buffered(), [this, number = number_] {
                 QTimer::singleShot(
                     0, this, [this, number] { give_up(number); });
@@ -216,13 +215,15 @@
         }
     }
 
-    void decode()
+    // Returns whether the response is still incomplete. The call has ended
+    // otherwise.
+    bool decode()
     {
         try {
             while (std::optional<http_response> response = decoder_.next()) {
                 if (belongs_to_call(*response)) {
                     complete(std::move(*response));
-                    return;
+                    return false;
                 }
                 if (++foreign_responses_ > max_foreign_responses) {
                     throw error(error_kind::bad_backend_answer,
@@ -231,8 +232,10 @@
                 decoder_.begin(
                     head_request_, client_.options_.allow_close_delimited);
             }
+            return true;
         } catch (const error& failure) {
             fail(failure);
+            return false;
         }
     }
 
