Continue from a table whose write was carried out late

Cause: the answer of a table write was lost, and the store carried it out seconds later, after the coordinator had read the old table and planned another one. That write and all later ones conflicted, because the coordinator compared what it read with its last write only and kept its revision. No key could move until another process took over. Since keys get new tokens after a lost connection, their grants also ended.

Change: tables of writes without an answer are kept until another write succeeds. If the store has one of them, it is the committed table. A table of anyone else is not adopted.

Tests: KeyCoordinator.ContinuesFromAWriteThatWasCarriedOutLate, DoesNotAdoptATableThatItHasNotWritten; the interface is new.

--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -47,21 +47,26 @@
 
     // Returns the next write, or nothing if the table does not have to change
     // or an earlier write is open. `servers` are those that may own keys. The
-    // result of the write is reported with `on_written` or `on_write_failed`.
+    // result of the write is reported with `on_written`, `on_write_failed` or,
+    // if it is not known, with one of the two functions below them.
     std::optional<table_write> plan(
         const std::vector<key_server>& servers, time_point now);
     // The open write succeeded, so its table is committed.
     void on_written(std::uint64_t store_revision, time_point now);
     // The open write was not carried out. The next call of `plan` starts over.
     void on_write_failed();
+    // The store had no table when it was read after a write without an answer.
+    // The write may still be carried out.
+    void on_write_undecided();
+    // The store had this table when it was read after a write that conflicted
+    // or had no answer. Returns whether the table was committed by this
+    // coordinator. That may be an earlier write, which was carried out late.
+    bool on_read_back(
+        const key_table& stored, std::uint64_t store_revision, time_point now);
     bool write_open() const
     {
         return pending_.has_value();
     }
-    const std::string& pending_text() const
-    {
-        return pending_text_;
-    }
 
     key_granter& granter()
     {
@@ -93,7 +98,9 @@
     time_point last_write_at_;
     time_point last_decay_at_;
     std::optional<key_table> pending_;
-    std::string pending_text_;
+    // Tables of writes without an answer that the store may still carry out.
+    // None of them can be once another write has succeeded.
+    std::vector<key_table> undecided_;
     bool active_ = false;
 };
 
--- a/src/router/ownership_tables.cpp
+++ b/src/router/ownership_tables.cpp
@@ -103,7 +103,7 @@
                 return;
             service_ownership& current = services_.at(id);
             if (outcome == store_outcome::not_found) {
-                current.keys.on_write_failed();
+                current.keys.on_write_undecided();
                 return;
             }
             if (outcome != store_outcome::done) {
@@ -112,12 +112,12 @@
             }
             try {
                 const auto object = platform_api::decode_object(body);
-                const key_table table = key_table::from_text(object.content);
-                if (table.text() == current.keys.pending_text()) {
-                    current.keys.on_written(object.store_revision, clock_());
-                } else {
-                    current.keys.on_write_failed();
-                }
+                const bool committed = current.keys.on_read_back(
+                    key_table::from_text(object.content), object.store_revision,
+                    clock_());
+                log_event(log_level::info, "ownership table read back",
+                    {{log_key::service, id.value()}, {"committed", committed},
+                        {"store_version", object.store_revision}});
             } catch (const error& failure) {
                 log_event(log_level::warn, "ownership table is malformed",
                     {{log_key::error, failure.what()}});
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -35,6 +35,7 @@
     started_at_ = now;
     last_decay_at_ = now;
     pending_.reset();
+    undecided_.clear();
     active_ = false;
 }
 
@@ -105,8 +106,7 @@
     if (!pending_)
         return std::nullopt;
     last_write_at_ = now;
-    pending_text_ = pending_->text();
-    return table_write{revision_, pending_text_};
+    return table_write{revision_, pending_->text()};
 }
 
 void key_coordinator::on_written(std::uint64_t store_revision, time_point now)
@@ -115,6 +115,7 @@
         return;
     table_ = std::move(*pending_);
     pending_.reset();
+    undecided_.clear();
     revision_ = store_revision;
     if (active_)
         granter_.adopt(table_, now);
@@ -128,4 +129,30 @@
     pending_.reset();
 }
 
+void key_coordinator::on_write_undecided()
+{
+    if (pending_)
+        undecided_.push_back(std::move(*pending_));
+    pending_.reset();
+}
+
+bool key_coordinator::on_read_back(
+    const key_table& stored, std::uint64_t store_revision, time_point now)
+{
+    const std::string text = stored.text();
+    const auto is_stored = [&text](const key_table& table) {
+        return table.text() == text;
+    };
+    const auto late =
+        std::find_if(undecided_.begin(), undecided_.end(), is_stored);
+    if (late != undecided_.end())
+        pending_ = *late;
+    if (pending_ && is_stored(*pending_)) {
+        on_written(store_revision, now);
+        return true;
+    }
+    on_write_undecided();
+    return false;
+}
+
 } // namespace filberthub
--- /dev/null
+++ b/test/routing/key_coordinator_test.cpp
@@ -0,0 +1,74 @@
+#include "routing/routing_builders.hpp"
+
+#include <filberthub/routing/key_coordinator.hpp>
+
+#include <gtest/gtest.h>
+
+namespace filberthub {
+namespace {
+
+// A coordinator that has committed a first table at revision 1 of the store,
+// and the servers that may own keys.
+class KeyCoordinator : public testing::Test
+{
+protected:
+    KeyCoordinator()
+    {
+        keys_.start(std::nullopt, 0, at_ms(0), at_ms(0));
+        add_server("a");
+        keys_.plan(servers_, at_ms(2'000));
+        keys_.on_written(1, at_ms(2'000));
+    }
+
+    void add_server(const std::string& id)
+    {
+        key_server server;
+        server.incarnation = {backend_server_id(id), 1};
+        server.capacity = 2;
+        servers_.push_back(server);
+    }
+
+    // Plans a table for one more server and returns the write.
+    table_write plan_with(const std::string& id, std::int64_t ms)
+    {
+        add_server(id);
+        const auto write = keys_.plan(servers_, at_ms(ms));
+        EXPECT_TRUE(write);
+        return write.value_or(table_write{});
+    }
+
+    std::vector<key_server> servers_;
+    key_coordinator keys_{key_granter_options{}, key_plan_options{}};
+};
+
+// Guards against a coordinator that can never write again, because a write
+// without an answer was carried out after it had read the table.
+TEST_F(KeyCoordinator, ContinuesFromAWriteThatWasCarriedOutLate)
+{
+    const key_table first = keys_.table();
+    const table_write late = plan_with("b", 3'000);
+    EXPECT_FALSE(keys_.on_read_back(first, 1, at_ms(3'900)));
+
+    plan_with("c", 4'000);
+    // This write conflicts with the late one.
+    const key_table stored = key_table::from_text(late.text);
+    EXPECT_TRUE(keys_.on_read_back(stored, 2, at_ms(4'100)));
+    EXPECT_EQ(keys_.table().text(), late.text);
+
+    EXPECT_EQ(plan_with("d", 5'000).base_revision, 2U);
+}
+
+// Guards against grants that follow the table of another coordinator.
+TEST_F(KeyCoordinator, DoesNotAdoptATableThatItHasNotWritten)
+{
+    const key_table first = keys_.table();
+    plan_with("b", 3'000);
+    key_table foreign = first;
+    foreign.ranges.at(0).token = fencing_token(900);
+    EXPECT_FALSE(keys_.on_read_back(foreign, 2, at_ms(3'100)));
+    EXPECT_EQ(keys_.table().text(), first.text());
+    EXPECT_FALSE(keys_.write_open());
+}
+
+} // namespace
+} // namespace filberthub
