Close idle connections before the server does

A connection that had been idle for its limit was closed only when another call waited.

Test: HttpClient.ClosesAConnectionThatWasIdleForTooLong failed before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -102,15 +102,16 @@
         else
             withdraw(number);
     }
-    if (waiting_.empty())
-        return;
     const std::vector<detail::client_connection*> open = connections_;
     for (detail::client_connection* connection : open) {
         if (connection->stale(now)) {
+            // Calls this function again.
             connection->close("idle for too long", false);
             return;
         }
     }
+    if (waiting_.empty())
+        return;
     const auto connecting = static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(),
             [](const auto* item) { return item->connecting(); }));
--- a/test/net/http_test.cpp
+++ b/test/net/http_test.cpp
@@ -341,5 +341,26 @@
     EXPECT_EQ(client.open_connections(), 1U);
 }
 
+// Guards against an idle connection that is left to the server to close, which
+// looks like a restart of the server.
+TEST(HttpClient, ClosesAConnectionThatWasIdleForTooLong)
+{
+    raw_server server("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+    http_client client(server.address(),
+        {.max_connections = 2, .idle_limit = milliseconds(200)});
+    int answers = 0;
+    const auto count_answer = [&](const http_result&) { ++answers; };
+    client.send({}, call_timeout, count_answer);
+    client.send({}, call_timeout, count_answer);
+    ASSERT_TRUE(run_until([&] { return answers == 2; }));
+    EXPECT_EQ(client.open_connections(), 2U);
+    // The calls use one of the connections.
+    EXPECT_TRUE(run_until([&] {
+        if (client.calls() == 0)
+            client.send({}, call_timeout, count_answer);
+        return client.open_connections() == 1;
+    }));
+}
+
 } // namespace
 } // namespace filberthub
