Publish the owners of keys again after a lapsed lease

Callers of keys got 503, because instances sent their requests to former owners, which answered 421.

Cause: after an outage of the store longer than its lease, the coordinator took its own lease again in the same term. The version of the published owners is made of the term and a count that began again at 1, so that all instances ignored it.

Change: the count goes on from the version that is known in the same term.

Test: ownership_controller_test.PublishesOwnersAgainInTheSameTerm; before, the new owner was not known after 10 s.

--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -282,10 +282,16 @@
     if (text == service.published_ranges)
         return;
     service.published_ranges = text;
+    const std::string key = deployment_view::served_key(id);
+    // This process may have published in the same term before its lease lapsed.
+    const versioned_object* known = view_.objects().find(key);
+    if (known != nullptr && known->version.value() >> term_shift == term_) {
+        publication_count_ = std::max(
+            publication_count_, known->version.value() - (term_ << term_shift));
+    }
     ++publication_count_;
     view_.update(
-        {deployment_view::served_key(id),
-            object_version((term_ << term_shift) + publication_count_), text},
+        {key, object_version((term_ << term_shift) + publication_count_), text},
         now);
 }
 
