Keep the other entries when one entry of the store is odd

Cause, measured on: an entry nested 100,000 deep ended the process, because the JSON library recurses when it writes a value; a field 1e400 made the whole page unreadable, so that no other server held; WarmupLeftMs of 1e300 became the largest number of milliseconds; port 0 and a host that is no address named a server. Between instances, a nested datagram recursed in the CBOR reader, and a malformed published object ended the process that followed.

Pages and events are cut into objects by their structure before anything is parsed, and each object stands alone: its content is passed on as text, or replaced by one that no decoder accepts if it is too large or too deep. Depth is checked before a document is parsed. Every number is bounded where it is read: times, counts, weights, revisions, ports, loads, the announced idle time. Objects without readable metadata are one log line until a reply has none.

Ruled out: the library's SAX interface for pages, because it stops at a number that is too large and takes the rest of the page with it.

Tests: decode_list_test, decode_events_test, decode_server_test, decoders_test (30,000 changed texts, one seed), JsonText, JsonReader, feed_test, peer_messages_test.

--- a/include/filberthub/base/json_reader.hpp
+++ b/include/filberthub/base/json_reader.hpp
@@ -23,7 +23,9 @@
 using json = nlohmann::json;
 
 // Parses `text`. Throws `error` of the given kind, with the position of the
-// syntax error.
+// syntax error. A text that is nested deeper than `max_json_depth` is refused
+// before it is parsed, because other functions of the library recurse into
+// values.
 json parse_json(std::string_view text, error_kind kind);
 
 // A view of one JSON object. The document must outlive it. Each function that
--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -1,13 +1,22 @@
 #include <filberthub/base/json_reader.hpp>
 
+#include <filberthub/base/json_text.hpp>
+
 namespace filberthub {
 
 json parse_json(std::string_view text, error_kind kind)
 {
+    const std::size_t depth = json_depth(text);
+    if (depth > max_json_depth) {
+        throw error(kind, "not valid JSON: " + std::to_string(depth) +
+                              " levels of nesting are above the maximum " +
+                              std::to_string(max_json_depth));
+    }
     try {
         return json::parse(text);
-    } catch (const json::parse_error& failure) {
-        throw error(kind, std::string("not valid JSON: ") + failure.what());
+    } catch (const json::exception& failure) {
+        // The library reports a number that is too large as `out_of_range`.
+        throw error(kind, "not valid JSON: " + shorten(failure.what()));
     }
 }
 
@@ -131,7 +140,8 @@
 void json_reader::fail(
     const std::string& field, const std::string& message) const
 {
-    throw error(kind_, "field \"" + path_ + "/" + field + "\": " + message);
+    throw error(
+        kind_, "field \"" + path_ + "/" + field + "\": " + shorten(message));
 }
 
 const json* json_reader::find(const std::string& field)
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -20,6 +20,8 @@
 // A connection is not used during this time before the server's idle timeout,
 // because the server may close it while a request is on the way.
 inline constexpr milliseconds idle_margin{1'000};
+// A longer announced idle time is cut to this.
+inline constexpr long max_idle_seconds = 86'400;
 // Late or repeated responses to earlier requests that are dropped while a call
 // waits for its own. A server that sends more is faulty.
 inline constexpr int max_foreign_responses = 3;
@@ -40,7 +42,7 @@
         std::from_chars(begin, field->data() + field->size(), seconds);
     if (parsed.ec != std::errc() || seconds < 0)
         return std::nullopt;
-    return milliseconds(seconds * 1000);
+    return milliseconds(std::min(seconds, max_idle_seconds) * 1000);
 }
 
 // One connection to the server. It carries at most one call at a time.
--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -1,11 +1,13 @@
 #include "router/deployment_view.hpp"
 
 #include <filberthub/base/json_reader.hpp>
+#include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <platform/object_codec.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace filberthub {
 namespace {
@@ -19,6 +21,7 @@
 // instances add up.
 constexpr milliseconds fleet_size_retention{12'000};
 constexpr const char* served_prefix = "served/";
+constexpr error_kind published_error = error_kind::bad_peer_message;
 
 } // namespace
 
@@ -78,13 +81,8 @@
 void deployment_view::apply(const versioned_object& object, time_point now)
 {
     changed_since_[object.key] = changes_missed_since_.value_or(now);
-    if (object.key == members_key) {
-        apply_members(object);
-        return;
-    }
-    if (object.key.starts_with(served_prefix)) {
-        apply_served(
-            object.key.substr(std::string(served_prefix).size()), object);
+    if (object.key == members_key || object.key.starts_with(served_prefix)) {
+        apply_published(object);
         return;
     }
     if (platform_api::object_name(object_kind::configuration, object.key)) {
@@ -100,6 +98,22 @@
         apply_evacuation(*domain, object, now);
 }
 
+// Applies an object that the coordinator has published. A malformed one leaves
+// the previous one in force.
+void deployment_view::apply_published(const versioned_object& object)
+{
+    try {
+        if (object.key == members_key)
+            apply_members(object);
+        else
+            apply_served(
+                object.key.substr(std::string(served_prefix).size()), object);
+    } catch (const std::exception& failure) {
+        log_event(log_level::warn, "published object is malformed",
+            {{"key", object.key}, {log_key::error, shorten(failure.what())}});
+    }
+}
+
 void deployment_view::apply_config(const versioned_object& object)
 {
     if (!object.value)
@@ -181,7 +195,8 @@
             servers_.set_unusable_since(id, *changes_missed_since_);
     } catch (const error& failure) {
         log_event(log_level::warn, "server entry is not valid",
-            {{log_key::server, name}, {log_key::error, failure.what()}});
+            {{log_key::server, shorten(name)},
+                {log_key::error, shorten(failure.what())}});
         entries_.erase(id);
         servers_.remove(id);
     }
@@ -218,12 +233,17 @@
 {
     if (!object.value)
         return;
-    members_.clear();
-    for (const json& row : json::parse(*object.value)) {
-        members_.push_back({instance_id(row.at(0).get<std::string>()),
-            endpoint_from_string(row.at(1).get<std::string>()),
-            row.at(2).get<double>()});
+    std::vector<live_instance> members;
+    for (const json& row : parse_json(*object.value, published_error)) {
+        const auto share = row.at(2).get<double>();
+        if (!(share > 0 && std::isfinite(share))) {
+            throw error(published_error, "processor share " + row.at(2).dump() +
+                                             " is not a positive number");
+        }
+        members.push_back({instance_id(row.at(0).get<std::string>()),
+            endpoint_from_string(row.at(1).get<std::string>()), share});
     }
+    members_ = std::move(members);
 }
 
 std::string deployment_view::encode_members(
@@ -243,7 +263,7 @@
     if (!object.value)
         return;
     std::vector<served_range> ranges;
-    for (const json& row : json::parse(*object.value)) {
+    for (const json& row : parse_json(*object.value, published_error)) {
         ranges.push_back(
             {row.at(0).get<key_number>(), row.at(1).get<key_number>(),
                 backend_server_id(row.at(2).get<std::string>())});
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -146,6 +146,7 @@
         time_point now);
     void apply_evacuation(const std::string& name,
         const versioned_object& object, time_point now);
+    void apply_published(const versioned_object& object);
     void apply_members(const versioned_object& object);
     void apply_served(
         const std::string& service, const versioned_object& object);
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -1,6 +1,9 @@
 #include "router/fleet_feed.hpp"
 
+#include "router/peer_messages.hpp"
+
 #include <filberthub/base/json_reader.hpp>
+#include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
@@ -97,14 +100,11 @@
             return;
         }
         polls_.push_back(std::move(poll));
-    } catch (const json::exception& failure) {
-        log_event(log_level::warn, "malformed poll from an instance",
-            {{log_key::error, failure.what()}});
-        exchange->respond(text_response(400, failure.what()));
-    } catch (const error& failure) {
+    } catch (const std::exception& failure) {
+        const std::string message = shorten(failure.what());
         log_event(log_level::warn, "malformed poll from an instance",
-            {{log_key::error, failure.what()}});
-        exchange->respond(text_response(400, failure.what()));
+            {{log_key::error, message}});
+        exchange->respond(text_response(400, message));
     }
 }
 
@@ -242,9 +242,9 @@
     milliseconds age{0};
     try {
         age = apply(result.response->body, clock_());
-    } catch (const json::exception& failure) {
+    } catch (const std::exception& failure) {
         log_event(log_level::warn, "malformed reply from the coordinator",
-            {{log_key::error, failure.what()}});
+            {{log_key::error, shorten(failure.what())}});
         poll_timer_.start(retry_delay);
         return;
     }
@@ -255,13 +255,13 @@
 
 milliseconds feed_client::apply(const std::string& body, time_point now)
 {
-    const json document = json::parse(body);
+    const json document = parse_json(body, error_kind::bad_peer_message);
     const auto run_id = document.at("run").get<std::uint64_t>();
     const bool was_fresh = fresh(now);
     for (const json& row : document.at("facts")) {
         // A coordinator of an earlier release does not send the age.
         const milliseconds change_age(
-            row.size() > 3 ? row.at(3).get<std::int64_t>() : 0);
+            row.size() > 3 ? read_milliseconds(row.at(3)) : milliseconds(0));
         const time_point changed_since = now - change_age;
         view_.set_changes_missed_since(
             was_fresh ? changed_since
@@ -277,11 +277,10 @@
     run_id_ = run_id;
     last_change_ = document.at("change").get<std::uint64_t>();
     view_.set_fleet_size(document.at("fleet").get<std::size_t>(), now);
-    poll_wait_ = milliseconds(document.at("hold_ms").get<std::int64_t>());
-    view_complete_until_ =
-        now - milliseconds(document.at("view_age_ms").get<std::int64_t>());
+    poll_wait_ = read_milliseconds(document.at("hold_ms"));
+    view_complete_until_ = now - read_milliseconds(document.at("view_age_ms"));
     complete_until_ = std::max(complete_until_, *view_complete_until_);
-    return milliseconds(document.at("store_age_ms").get<std::int64_t>());
+    return read_milliseconds(document.at("store_age_ms"));
 }
 
 } // namespace filberthub
--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -4,6 +4,7 @@
 #include "router/fleet_role.hpp"
 
 #include <filberthub/base/json_reader.hpp>
+#include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 namespace filberthub {
@@ -165,12 +166,9 @@
         log_event(log_level::info, "lease was taken by another coordinator",
             {{"term", term}});
         tick(clock_());
-    } catch (const json::exception& failure) {
+    } catch (const std::exception& failure) {
         response.status = 400;
-        response.body = failure.what();
-    } catch (const error& failure) {
-        response.status = 400;
-        response.body = failure.what();
+        response.body = shorten(failure.what());
     }
     exchange.respond(std::move(response));
 }
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -1,5 +1,8 @@
 #include "router/gate_service.hpp"
 
+#include "router/peer_messages.hpp"
+
+#include <filberthub/base/json_text.hpp>
 #include <filberthub/membership/rendezvous.hpp>
 #include <filberthub/telemetry/log.hpp>
 
@@ -186,11 +189,11 @@
                 .toStdString(),
             static_cast<std::uint16_t>(datagram.senderPort())};
         try {
-            on_message(json::from_cbor(bytes.begin(), bytes.end()), sender);
-        } catch (const json::exception& failure) {
+            on_message(decode_datagram(bytes.begin(), bytes.end()), sender);
+        } catch (const std::exception& failure) {
             log_event(log_level::warn, "malformed datagram on the peer port",
                 {{log_key::peer, to_string(sender)},
-                    {log_key::error, failure.what()}});
+                    {log_key::error, shorten(failure.what())}});
         }
     }
 }
@@ -204,9 +207,8 @@
         return;
     case decision_message:
         on_decision(message.at(1).get<std::uint64_t>(),
-            static_cast<slot_decision>(message.at(2).get<int>()),
-            message.at(3).get<std::string>(),
-            milliseconds(message.at(4).get<std::int64_t>()));
+            read_enum(message.at(2), slot_decision::refused),
+            message.at(3).get<std::string>(), read_milliseconds(message.at(4)));
         return;
     case finish_message:
         on_finish(message, sender, now);
@@ -229,11 +231,10 @@
     if (!owner.empty())
         request.owner = backend_server_id(owner);
     request.urgency = message.at(5).get<unsigned>();
-    request.target_time = now + milliseconds(message.at(6).get<std::int64_t>());
-    request.answer_deadline =
-        now + milliseconds(message.at(7).get<std::int64_t>());
+    request.target_time = now + read_milliseconds(message.at(6));
+    request.answer_deadline = now + read_milliseconds(message.at(7));
     request.domain = failure_domain_id(message.at(8).get<std::string>());
-    request.cross_domain_cost = milliseconds(message.at(9).get<std::int64_t>());
+    request.cross_domain_cost = read_milliseconds(message.at(9));
     for (const json& id : message.at(10))
         request.excluded.emplace_back(id.get<std::string>());
     send_decisions(gate_.request_slot(std::move(request), now));
@@ -245,11 +246,8 @@
     const json& message, const endpoint& sender, time_point now)
 {
     gate_result result;
-    const int outcome = message.at(2).get<int>();
-    if (outcome < 0 || outcome > static_cast<int>(send_outcome::cancelled))
-        return;
-    result.outcome = static_cast<send_outcome>(outcome);
-    result.taken = milliseconds(message.at(3).get<std::int64_t>());
+    result.outcome = read_enum(message.at(2), send_outcome::cancelled);
+    result.taken = read_milliseconds(message.at(3));
     const auto slots = message.at(6).get<unsigned>();
     if (slots > 0) {
         result.report = server_load_report{message.at(4).get<unsigned>(),
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -155,6 +155,13 @@
     platform_api::store_page page =
         listing ? platform_api::decode_list(kind_, body)
                 : platform_api::decode_events(kind_, body);
+    if (page.unreadable_objects > 0 && !unreadable_logged_) {
+        log_event(log_level::warn, "objects of the store cannot be read",
+            {{"kind", platform_api::kind_name(kind_)},
+                {"objects", page.unreadable_objects},
+                {log_key::error, page.first_failure}});
+    }
+    unreadable_logged_ = page.unreadable_objects > 0;
     if (!listing) {
         update.objects = std::move(page.objects);
         update.store_revision = page.store_revision;
--- a/src/router/store_session.hpp
+++ b/src/router/store_session.hpp
@@ -102,6 +102,9 @@
     // changes made while the list is read are reported.
     std::uint64_t list_revision_ = 0;
     unsigned failures_ = 0;
+    // Whether the last reply had objects that cannot be read. They are logged
+    // once and not in each reply.
+    bool unreadable_logged_ = false;
     // Whether the store replied that it has no object of the kind.
     bool kind_absent_ = false;
 };
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::int64_t max_stored_integer = std::int64_t{1} << 60;
+// Far above the time for which a coordinator may grant.
+constexpr std::int64_t max_grants_left_ms = 3'600'000;
 
 } // namespace
 
@@ -26,7 +28,7 @@
     record.renewal = static_cast<std::uint64_t>(
         reader.integer("renewal", 0, max_stored_integer));
     record.earlier_grants_left = milliseconds(
-        reader.integer_or("others_grant_ms", 0, max_stored_integer, 0));
+        reader.integer_or("others_grant_ms", 0, max_grants_left_ms, 0));
     return record;
 }
 
--- a/test/platform_adapter/adapter_test.cpp
+++ b/test/platform_adapter/adapter_test.cpp
@@ -7,6 +7,8 @@
 
 #include <filberthub/base/error.hpp>
 
+#include <random>
+
 namespace filberthub::platform_api {
 namespace {
 
@@ -89,6 +91,133 @@
         EXPECT_THROW(decode_server("i-1", text), error) << text;
 }
 
+// Guards against a server that nobody can connect to, and against times whose
+// sums overflow.
+TEST(decode_server_test, RefusesValuesOutOfRange)
+{
+    const auto entry = [](const std::string& address, const std::string& cold) {
+        return R"({"Service":"x","Address":")" + address +
+               R"(","Zone":"a","Capacity":2,"State":"ready","WarmupLeftMs":)" +
+               cold + "}";
+    };
+    EXPECT_NO_THROW(decode_server("i-1", entry("10.0.0.9:80", "0")));
+    for (const char* address : {"10.0.0.9:0", "10.0.0.9:70000", "10.0.0.9:-1",
+             "10.0.0.9:99999999999999999999", "x:80", ":80", "10.0.0:80"})
+        EXPECT_THROW(decode_server("i-1", entry(address, "0")), error)
+            << address;
+    for (const char* cold :
+        {"1e300", "1e400", "9223372036854775808", "-1", "18446744073709551616"})
+        EXPECT_THROW(decode_server("i-1", entry("10.0.0.9:80", cold)), error)
+            << cold;
+}
+
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// The contents that another writer may leave in the store.
+std::vector<std::string> odd_contents()
+{
+    return {nested(100'000), nested(1'000), R"({"a":)" + nested(400'000) + "}",
+        R"({"Capacity":1e400})", "1e999999", "\"\\ud800\"", "\"\xff\"",
+        R"({"Address":"10.0.0.9:99999"})", "{\"a\"}", "[1,,2]",
+        "\"" + std::string(100'000, 'x') + "\"",
+        R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":2,
+            "State":"ready","Odd":)" +
+            nested(100'000) + "}"};
+}
+
+// Guards against one odd entry that ends the process or makes the list of all
+// servers unreadable.
+TEST(decode_list_test, KeepsTheOtherServersBesideAnOddEntry)
+{
+    const std::string good =
+        R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":2,
+            "State":"ready"})";
+    for (const std::string& odd : odd_contents()) {
+        const std::string objects =
+            R"({"Metadata":{"Name":"odd","Revision":6},"Spec":)" + odd +
+            R"(},{"Metadata":{"Name":"good","Revision":7},"Spec":)" + good +
+            "}";
+        const store_page page = decode_list(object_kind::server,
+            R"({"items":[)" + objects + R"(],"StoreRevision":9})");
+        ASSERT_EQ(page.objects.size(), 2U) << odd.substr(0, 60);
+        EXPECT_THROW(decode_server("odd", *page.objects[0].value), error)
+            << odd.substr(0, 60);
+        EXPECT_NO_THROW(decode_server("good", *page.objects[1].value));
+    }
+}
+
+// The same for the events of a watch and for single objects.
+TEST(decode_events_test, KeepsTheOtherServersBesideAnOddEntry)
+{
+    for (const std::string& odd : odd_contents()) {
+        const std::string object =
+            R"({"Metadata":{"Name":"odd","Revision":6},"Spec":)" + odd + "}";
+        const store_page page = decode_events(object_kind::server,
+            R"({"events":[{"Deleted":false,"Object":)" + object +
+                R"(},{"Deleted":true,"Object":{"Metadata":{"Name":"i-2",
+                "Revision":8}}}],"StoreRevision":9})");
+        ASSERT_EQ(page.objects.size(), 2U) << odd.substr(0, 60);
+        EXPECT_FALSE(page.objects[1].value);
+        EXPECT_EQ(decode_object(object).store_revision, 6U);
+        EXPECT_THROW(decode_config(odd), error);
+    }
+}
+
+// Guards against an object without readable metadata that hides the others.
+TEST(decode_list_test, CountsObjectsWithoutReadableMetadata)
+{
+    for (const char* metadata :
+        {"{}", "7", R"({"Name":7,"Revision":1})",
+            R"({"Name":"a","Revision":1e400})", R"({"Name":"a","Revision":-1})",
+            R"({"Name":"a","Revision":9223372036854775808})"}) {
+        const store_page page = decode_list(object_kind::server,
+            R"({"items":[{"Metadata":)" + std::string(metadata) +
+                R"(},{"Metadata":{"Name":"b","Revision":2},"Spec":{}}],
+                "HasMore":true,"StoreRevision":9})");
+        EXPECT_EQ(page.unreadable_objects, 1U) << metadata;
+        ASSERT_EQ(page.objects.size(), 1U) << metadata;
+        EXPECT_EQ(page.next, "b");
+        EXPECT_FALSE(page.first_failure.empty());
+    }
+}
+
+// Guards against a crash of a decoder on text that is almost right. Each case
+// changes some bytes of a valid text; all are drawn from one seed.
+TEST(decoders_test, SurviveChangedBytes)
+{
+    std::mt19937 random(20'261'205);
+    const std::vector<std::string> texts = {config_text,
+        R"({"items":[{"Metadata":{"Name":"i-1","Revision":7},"Spec":{"a":1}}],
+            "HasMore":true,"StoreRevision":530})",
+        R"({"Service":"x","Address":"10.0.0.9:8080","Zone":"a","Capacity":2,
+            "State":"draining","WarmupLeftMs":1500,"born":1769435630198})"};
+    const std::string letters = "[]{}\",:0123456789eE+-.\\ \xff";
+    int decoded = 0;
+    const auto attempt = [&](const auto& decode) {
+        try {
+            decode();
+            ++decoded;
+        } catch (const error&) {
+        }
+    };
+    for (int run = 0; run < 30'000; ++run) {
+        std::string text = texts[random() % texts.size()];
+        for (unsigned change = random() % 4; change-- > 0;)
+            text[random() % text.size()] = letters[random() % letters.size()];
+        if (random() % 4 == 0)
+            text.insert(random() % text.size(), random() % 200, '[');
+        attempt([&] { decode_config(text); });
+        attempt([&] { decode_server("i-1", text); });
+        attempt([&] { decode_list(object_kind::server, text); });
+        attempt([&] { decode_events(object_kind::server, text); });
+        attempt([&] { decode_object(text); });
+    }
+    EXPECT_GT(decoded, 1'000);
+}
+
 // Guards against a list that ends after its first page.
 TEST(decode_list_test, ReturnsObjectsAndTheNextPage)
 {
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -1,6 +1,7 @@
 #include "net/loop.hpp"
 
 #include "router/fleet_feed.hpp"
+#include "router/peer_messages.hpp"
 
 #include <gtest/gtest.h>
 
@@ -75,5 +76,41 @@
     EXPECT_LE(*follower_server()->unusable_since, missed_since);
 }
 
+// Guards against a coordinator of another release, or a faulty one, whose
+// reply or published object ends the processes that follow it.
+TEST_F(feed_test, SurvivesMalformedPublishedObjects)
+{
+    const std::string deep = std::string(100'000, '[');
+    std::uint64_t version = 10;
+    for (const std::string& odd :
+        {deep, std::string("{}"), std::string(R"([["i-1","nowhere",1]])"),
+            std::string(R"([["i-1","127.0.0.1:1",-1]])"), std::string("7"),
+            std::string("[[1]]"), std::string("1e400")}) {
+        follower_view_.update(
+            {deployment_view::members_key, object_version(++version), odd},
+            now_);
+        follower_view_.update({deployment_view::served_key(service_id("maps")),
+                                  object_version(++version), odd},
+            now_);
+    }
+    EXPECT_TRUE(follower_view_.members().empty());
+    ASSERT_TRUE(run_until([&] { return client_.fresh(now_); }));
+}
+
+// Guards against a datagram that exhausts the stack, and against times whose
+// sums overflow.
+TEST(peer_messages_test, RefusesNestedDatagrams)
+{
+    const std::string deep(60'000, '\x81');
+    EXPECT_THROW(
+        decode_datagram(deep.data(), deep.data() + deep.size()), error);
+    const auto bytes = json::to_cbor(json{1, "a", {"b", "c"}, 2});
+    const char* begin = reinterpret_cast<const char*>(bytes.data());
+    EXPECT_EQ(decode_datagram(begin, begin + bytes.size()).size(), 4U);
+    EXPECT_EQ(read_milliseconds(json(UINT64_MAX)), milliseconds(3'600'000));
+    EXPECT_EQ(read_milliseconds(json(INT64_MIN)), milliseconds(-3'600'000));
+    EXPECT_THROW(read_enum(json(9), send_outcome::cancelled), error);
+}
+
 } // namespace
 } // namespace filberthub
