Never send a refused request over the same connection again

Cause: a keyed request that was refused goes to the same owner again, with the same id and mostly over the same connection. A server that writes its refusal again then answers the new attempt with it: the caller hears "not run" for a request that runs. An answer without an id passed for that of any request.

A repeat to a server that had the request goes over a connection that has carried nothing. On a used connection, an answer without the echoed field is faulty, so the outcome is unknown and the connection ends. Releases of keys go over unused connections too: a second answer to a grant would have passed for the answer to a release, and a key would have had two owners.

Ruled out: keeping the ids that a connection has carried, because their number has no bound that follows from the design.

--- a/include/filberthub/net/http_client.hpp
+++ b/include/filberthub/net/http_client.hpp
@@ -51,6 +51,16 @@
 using http_request_source = std::function<std::optional<http_request>()>;
 using call_number = strong_number<struct call_number_tag, std::uint64_t>;
 
+// Where a call may be sent.
+enum class connection_choice : std::uint8_t
+{
+    any,
+    // Only over a connection that has carried no request. For a request that
+    // the server has already refused once: what the server writes again on the
+    // old connection cannot be told from the answer to the new attempt.
+    unused
+};
+
 struct http_client_options
 {
     std::size_t max_connections = 2;
@@ -62,7 +72,8 @@
     bool number_exchanges = false;
     // Name of a request field that the server echoes in its response. A
     // response with another value is dropped, and the client continues to wait.
-    // Empty if the server echoes no field.
+    // A response without the field is faulty, unless the connection has carried
+    // no other request. Empty if the server echoes no field.
     std::string echoed_field;
     // Whether a response without a length is accepted and ends when the server
     // closes the connection. A reset does not complete a response.
@@ -94,13 +105,15 @@
     // Sends a request as soon as a connection is free. `callback` is called
     // exactly once, later, unless the call is cancelled or the client is
     // destroyed first.
-    call_number send(
-        http_request request, milliseconds timeout, http_callback callback);
+    call_number send(http_request request, milliseconds timeout,
+        http_callback callback,
+        connection_choice choice = connection_choice::any);
 
     // The same for a request that depends on what is known when its first byte
     // is sent, which may be long after this call.
     call_number send_when_free(http_request_source source, milliseconds timeout,
-        http_callback callback);
+        http_callback callback,
+        connection_choice choice = connection_choice::any);
 
     // Cancels a call; its callback is not called. Its connection is closed,
     // which tells the server to stop. Returns whether a byte of the request may
@@ -146,12 +159,18 @@
         // When its first byte was sent.
         std::optional<time_point> started;
         time_point deadline;
+        connection_choice choice = connection_choice::any;
         detail::client_connection* connection = nullptr;
 
         milliseconds connection_wait(time_point now) const;
     };
 
     void dispatch();
+    detail::client_connection* find_connection(
+        const call& item, time_point now) const;
+    void start_waiting(time_point now);
+    bool close_one_connection(time_point now);
+    void open_connections_for_waiting();
     void withdraw(call_number number);
     void finish(call_number number, http_result result);
     void remove(detail::client_connection* connection, bool reset);
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -106,6 +106,12 @@
         return last_used_;
     }
 
+    // Whether the connection has carried a request.
+    bool used() const
+    {
+        return requests_ > 0;
+    }
+
     time_point connect_deadline() const
     {
         return connect_deadline_;
@@ -121,6 +127,7 @@
     {
         number_ = number;
         busy_ = true;
+        ++requests_;
         foreign_responses_ = 0;
         call.connection = this;
         call.started = std::chrono::steady_clock::now();
@@ -242,13 +249,18 @@
     }
 
     // Returns whether the response is for the call in flight, and not a second
-    // one for an earlier call.
+    // one for an earlier call. Throws if that cannot be known.
     bool belongs_to_call(const http_response& response) const
     {
         const std::string& field = client_.options_.echoed_field;
         if (field.empty() || expected_echo_.empty())
             return true;
         const auto echo = response.headers.get(field);
+        if (!echo && requests_ > 1) {
+            throw error(error_kind::bad_backend_answer,
+                "the answer has no field \"" + field +
+                    "\", so it may belong to an earlier request");
+        }
         return !echo || *echo == expected_echo_;
     }
 
@@ -261,11 +273,15 @@
             on_readable();
         if (closed_ || !busy_)
             return;
-        std::optional<http_response> response = decoder_.finish();
-        if (!response || !belongs_to_call(*response))
-            return;
-        response->keep_alive = false;
-        complete(std::move(*response));
+        try {
+            std::optional<http_response> response = decoder_.finish();
+            if (!response || !belongs_to_call(*response))
+                return;
+            response->keep_alive = false;
+            complete(std::move(*response));
+        } catch (const error& failure) {
+            fail(failure);
+        }
     }
 
     void complete(http_response response)
@@ -326,6 +342,7 @@
     std::string expected_echo_;
     bool head_request_ = false;
     call_number number_;
+    std::uint64_t requests_ = 0;
     int foreign_responses_ = 0;
     bool connected_ = false;
     bool busy_ = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -29,16 +29,16 @@
         delete connection;
 }
 
-call_number http_client::send(
-    http_request request, milliseconds timeout, http_callback callback)
+call_number http_client::send(http_request request, milliseconds timeout,
+    http_callback callback, connection_choice choice)
 {
     return send_when_free(
         [request = std::move(request)]() mutable { return std::move(request); },
-        timeout, std::move(callback));
+        timeout, std::move(callback), choice);
 }
 
-call_number http_client::send_when_free(
-    http_request_source source, milliseconds timeout, http_callback callback)
+call_number http_client::send_when_free(http_request_source source,
+    milliseconds timeout, http_callback callback, connection_choice choice)
 {
     last_number_ = last_number_.next();
     const call_number number = last_number_;
@@ -47,6 +47,7 @@
     added.callback = std::move(callback);
     added.accepted = std::chrono::steady_clock::now();
     added.deadline = added.accepted + timeout;
+    added.choice = choice;
     waiting_.push_back(number);
     dispatch();
     arm_timer();
@@ -80,38 +81,66 @@
     reset_callback_ = std::move(callback);
 }
 
-void http_client::dispatch()
+// Returns a free connection for the call, or null.
+detail::client_connection* http_client::find_connection(
+    const call& item, time_point now) const
 {
-    const time_point now = std::chrono::steady_clock::now();
-    while (!waiting_.empty()) {
-        // The most recently used connection is the least likely to be closed.
-        detail::client_connection* best = nullptr;
-        for (detail::client_connection* connection : connections_) {
-            if (connection->ready() && !connection->stale(now) &&
-                (best == nullptr ||
-                    connection->last_used() > best->last_used()))
-                best = connection;
-        }
-        if (best == nullptr)
-            break;
-        const call_number number = waiting_.front();
-        waiting_.pop_front();
+    // The most recently used connection is the least likely to be closed.
+    detail::client_connection* best = nullptr;
+    for (detail::client_connection* connection : connections_) {
+        if (!connection->ready() || connection->stale(now) ||
+            (item.choice == connection_choice::unused && connection->used()))
+            continue;
+        if (best == nullptr || connection->last_used() > best->last_used())
+            best = connection;
+    }
+    return best;
+}
+
+// Starts the waiting calls for which a connection is free, oldest first.
+void http_client::start_waiting(time_point now)
+{
+    for (std::size_t index = 0; index < waiting_.size();) {
+        const call_number number = waiting_[index];
         call& next = calls_.at(number);
+        detail::client_connection* connection = find_connection(next, now);
+        if (connection == nullptr) {
+            ++index;
+            continue;
+        }
+        waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(index));
         if (std::optional<http_request> request = next.source())
-            best->start(number, next, std::move(*request));
+            connection->start(number, next, std::move(*request));
         else
             withdraw(number);
     }
-    const std::vector<detail::client_connection*> open = connections_;
-    for (detail::client_connection* connection : open) {
+}
+
+// Closes a connection that is stale, or one that takes the place of an unused
+// one. Returns whether it did; closing calls `dispatch` again.
+bool http_client::close_one_connection(time_point now)
+{
+    const bool needs_unused =
+        connections_.size() >= options_.max_connections &&
+        std::any_of(
+            waiting_.begin(), waiting_.end(), [this](call_number number) {
+                return calls_.at(number).choice == connection_choice::unused;
+            });
+    for (detail::client_connection* connection : connections_) {
         if (connection->stale(now)) {
-            // Calls this function again.
             connection->close("idle for too long", false);
-            return;
+            return true;
+        }
+        if (needs_unused && connection->ready()) {
+            connection->close("replaced by an unused one", false);
+            return true;
         }
     }
-    if (waiting_.empty())
-        return;
+    return false;
+}
+
+void http_client::open_connections_for_waiting()
+{
     const auto connecting = static_cast<std::size_t>(
         std::count_if(connections_.begin(), connections_.end(),
             [](const auto* item) { return item->connecting(); }));
@@ -122,6 +151,14 @@
         connections_.push_back(new detail::client_connection(*this));
 }
 
+void http_client::dispatch()
+{
+    const time_point now = std::chrono::steady_clock::now();
+    start_waiting(now);
+    if (!close_one_connection(now))
+        open_connections_for_waiting();
+}
+
 // The callback is called later, because `send` may be on the stack.
 void http_client::withdraw(call_number number)
 {
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -175,12 +175,19 @@
             return std::nullopt;
         return make_forwarded_request(*request, started);
     };
-    request->call = client->send_when_free(make_request,
+    const bool sent_before =
+        std::find(request->tried_servers.begin(), request->tried_servers.end(),
+            server) != request->tried_servers.end();
+    const connection_choice choice =
+        sent_before ? connection_choice::unused : connection_choice::any;
+    request->call = client->send_when_free(
+        make_request,
         std::max(elapsed(now, request->state.answer_deadline), milliseconds(1)),
         [this, request, server](http_result result) {
             request->client = nullptr;
             on_result(request, server, std::move(result));
-        });
+        },
+        choice);
 }
 
 void caller_service::on_cancelled(const request_ptr& request)
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -230,8 +230,8 @@
     // The address may belong to another server in the meantime.
     request.headers.set(
         platform_api::header::expected_server, command.server.id.value());
-    client.send(std::move(request),
-        command.release ? release_timeout : grant_timeout,
+    client.send(
+        std::move(request), command.release ? release_timeout : grant_timeout,
         [this, alive = alive_, id, command](http_result result) {
             if (!*alive)
                 return;
@@ -271,7 +271,10 @@
                 advance(now);
             else
                 publish(id, service, now);
-        });
+        },
+        // A late second answer to a grant would pass for the answer to the
+        // release, and its keys would have two owners.
+        command.release ? connection_choice::unused : connection_choice::any);
 }
 
 void ownership_controller::publish(
