Heed servers that say in answers that they leave or rest

Missing: no code read Server-Leaving, Retry-After in answers of servers, or the route type download.

- An answer that says that its server is leaving counts at once, whatever the entry says, until the server has started anew.
It is kept while the entry is missing.
Requests that wait for a gate or a connection are withdrawn.
- It is reported to the coordinator, in each poll, so that keys of the server move.
Other instances are not told: each learns from its first answer, which the server still serves, and telling all would cost a message to each.
- A server that asks for rest gets nothing from this instance until then, at most a minute.
The gate is told with each request which servers it must not choose for it, and may grant them to others.
A keyed request whose owner rests is refused at once with the server's own time.
Grants of keys go on: without them the server would lose its keys, which costs callers more.
Health checks are not made.
- download is repeatable; unknown types stay at most once.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -95,12 +95,17 @@
     // Other servers are preferred until then.
     time_point avoid_until;
     unsigned consecutive_failures = 0;
-    // When the server became unusable for new requests, because it drains or
-    // its failure domain was evacuated.
+    // Whether an answer of this incarnation said that it is leaving.
+    bool leaving = false;
+    // The server has asked this instance to send it nothing until then.
+    time_point rests_until;
+    // When the server became unusable for new requests, because it is leaving
+    // or its failure domain was evacuated.
     std::optional<time_point> unusable_since;
 };
 
-// Never chooses a server that drains or whose failure domain is evacuated, and
+// Never chooses a server that is leaving, that rests or whose failure domain is
+// evacuated, and
 // spaces requests to cold servers so that the fleet stays within `cold_bound`.
 class server_pool
 {
@@ -127,6 +132,28 @@
         double uniform_random, time_point now);
     void set_evacuated(
         const failure_domain_id& domain, bool evacuated, time_point now);
+    // An answer of the incarnation that started at `started` said that the
+    // server is leaving. This holds until the server has started anew, whatever
+    // its entry says, also if the entry lapses meanwhile. Returns whether it is
+    // new.
+    bool set_leaving(
+        const backend_server_id& id, std::uint64_t started, time_point now);
+    // An answer of that incarnation asked this instance to send nothing until
+    // `until`. Ignored for another incarnation than the present one.
+    void set_resting(const backend_server_id& id, std::uint64_t started,
+        time_point until, time_point now);
+    // Whether the server has asked this instance to send it nothing now.
+    bool resting(const observed_server& server, time_point now) const
+    {
+        return now < server.rests_until;
+    }
+    // Returns the servers of a service that are leaving or rest only according
+    // to their answers to this instance, so that others may not know.
+    std::vector<backend_server_id> withdrawn_servers(
+        const service_id& service, time_point now) const;
+    // Returns the servers that are leaving according to their answers, with the
+    // start of the incarnation that said so.
+    std::map<backend_server_id, std::uint64_t> leaving_servers() const;
 
     const observed_server* find(const backend_server_id& id) const;
     std::vector<const observed_server*> of_service(
@@ -168,6 +195,18 @@
         time_point now);
 
 private:
+    // What a server has said of itself in its answers.
+    struct announcement
+    {
+        std::uint64_t started = 0;
+        bool leaving = false;
+        time_point rests_until;
+        time_point announced_at;
+    };
+
+    announcement& announcement_of(
+        const backend_server_id& id, std::uint64_t started, time_point now);
+    void apply_announcement(observed_server& server);
     void record_usability(observed_server& server, time_point now) const;
     double expected_requests(
         const observed_server& server, time_point now) const;
@@ -181,6 +220,8 @@
     std::map<service_id, std::set<backend_server_id>> by_service_;
     service_time_tracker times_;
     std::set<failure_domain_id> evacuated_;
+    // Kept while an entry is missing, because it may have lapsed.
+    std::map<backend_server_id, announcement> announcements_;
 };
 
 } // namespace filberthub
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -47,6 +47,18 @@
     return server == nullptr || now < server->avoid_until;
 }
 
+// Returns for how long the owner of the request's key wants no requests.
+milliseconds caller_service::owner_rest(
+    const caller_request& request, time_point now) const
+{
+    const auto owner = view_.owner_of(request.service, *request.key);
+    const observed_server* server =
+        owner ? view_.servers().find(*owner) : nullptr;
+    if (server == nullptr || !view_.servers().resting(*server, now))
+        return milliseconds(0);
+    return elapsed(now, server->rests_until) + milliseconds(1);
+}
+
 std::optional<backend_server_id> caller_service::choose_server(
     caller_request& request, time_point now)
 {
@@ -93,7 +105,10 @@
             return false;
         request->server = *slot.owner;
     }
-    slot.excluded = request->tried_servers;
+    // The gate does not know which servers this instance may not send to.
+    slot.excluded = view_.servers().withdrawn_servers(request->service, now);
+    slot.excluded.insert(slot.excluded.end(), request->tried_servers.begin(),
+        request->tried_servers.end());
     slot.domain = settings_.domain;
     slot.cross_domain_cost =
         request->exchange->request().body.size() > large_body_bytes
@@ -137,8 +152,12 @@
         break;
     }
     const observed_server* server = view_.servers().find(reply.server);
+    const bool withdrawn =
+        server != nullptr &&
+        (server->leaving || view_.servers().resting(*server, now));
     const bool fits =
         server != nullptr && now >= server->avoid_until &&
+        !view_.servers().resting(*server, now) &&
         (request->state.keyed ? !server->unusable_since ||
                                     view_.servers().may_send_keyed(*server, now)
                               : view_.servers().usable(*server));
@@ -146,8 +165,11 @@
         send(request, reply.server, now);
         return;
     }
-    report_to_gate(
-        *request, send_outcome::unreachable, milliseconds(0), std::nullopt);
+    // Other instances may still send to a server that has withdrawn from this
+    // one only.
+    report_to_gate(*request,
+        withdrawn ? send_outcome::cancelled : send_outcome::unreachable,
+        milliseconds(0), std::nullopt);
     send_without_gate(request, now);
 }
 
@@ -175,8 +197,17 @@
             "no server left to try");
         return;
     }
-    if (owner_is_lost(*request, now) ||
-        now >= request->arrived + max_owner_wait) {
+    const milliseconds rest = owner_rest(*request, now);
+    if (now + rest >= request->arrived + max_owner_wait ||
+        now + rest + min_attempt_time >= request->state.answer_deadline) {
+        fail(request,
+            failure_of(request->state, false,
+                rest.count() > 0 ? rest : retry_delay_after_loss),
+            rest.count() > 0 ? "the owner of the key wants no requests"
+                             : "no owner of the key");
+        return;
+    }
+    if (owner_is_lost(*request, now)) {
         fail(request, failure_of(request->state, false, retry_delay_after_loss),
             "no owner of the key");
         return;
@@ -196,10 +227,22 @@
 
 void caller_service::on_view_changed()
 {
+    move_waiting();
+    withdraw_unsent();
+    retry_waiting();
+}
+
+// Starts the requests again that wait for a slot of a server that no longer
+// owns their key or wants no requests.
+void caller_service::move_waiting()
+{
+    const time_point now = clock_();
     std::vector<request_ptr> moved_requests;
     for (const request_ptr& request : requests_) {
         if (request->waiting_for_slot && request->state.keyed &&
-            view_.owner_of(request->service, *request->key) != request->server)
+            (view_.owner_of(request->service, *request->key) !=
+                    request->server ||
+                !may_still_send(*request, now)))
             moved_requests.push_back(request);
     }
     for (const request_ptr& request : moved_requests) {
@@ -208,8 +251,6 @@
             *request, send_outcome::cancelled, milliseconds(0), std::nullopt);
         start_attempt(request);
     }
-    withdraw_unsent();
-    retry_waiting();
 }
 
 // A request that waits for a connection to a server that may not get it any
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -41,6 +41,9 @@
     // Server of the open or last attempt, or the owner whose slot was
     // requested.
     backend_server_id server;
+    // Start of the incarnation of that server that was known when the attempt
+    // was sent.
+    std::uint64_t server_started = 0;
     // When the last attempt started.
     time_point sent;
     // How long the last attempt waited for a connection to the server.
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -80,6 +80,37 @@
     start_attempt(request);
 }
 
+// Records that the server is leaving or wants no requests for some time. No
+// request that is not yet sent reaches it afterwards.
+void caller_service::record_announcements(const caller_request& request,
+    const http_response& response, time_point now)
+{
+    server_pool& servers = view_.servers();
+    const bool newly_leaving =
+        platform_api::says_leaving(response.headers) &&
+        servers.set_leaving(request.server, request.server_started, now);
+    if (newly_leaving) {
+        log_event(log_level::info, "server says that it is leaving",
+            {{log_key::server, request.server.value()},
+                {"started", request.server_started}});
+    }
+    const auto rest = platform_api::decode_rest(response);
+    if (rest) {
+        servers.set_resting(
+            request.server, request.server_started, now + *rest, now);
+        log_event(log_level::info, "server wants no requests for some time",
+            {{log_key::server, request.server.value()},
+                {log_key::duration_ms, rest->count()}});
+    }
+    if (!newly_leaving && !rest)
+        return;
+    // Not at once: the request of this answer is being handled.
+    QTimer::singleShot(0, this, [this] {
+        move_waiting();
+        withdraw_unsent();
+    });
+}
+
 // Logs a request whose first byte was sent after the server was known to leave.
 void caller_service::log_send_to_leaving_server(
     const caller_request& request, const backend_server_id& server)
@@ -112,6 +143,7 @@
     else if (response.status < 300 && !response.headers.get(header::signature))
         outcome = send_outcome::lost;
     view_.servers().on_finished(server, outcome, taken, report, now);
+    record_announcements(*request, response, now);
     report_to_gate(*request, outcome, taken, report);
     ++request->state.sends;
     request->tried_servers.push_back(server);
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -173,6 +173,8 @@
         const time_point started = clock_();
         if (!may_still_send(*request, started))
             return std::nullopt;
+        request->server_started =
+            view_.servers().find(request->server)->entry.started;
         return make_forwarded_request(*request, started);
     };
     const bool sent_before =
@@ -256,6 +258,8 @@
     for (const auto& [server, slowdown] :
         gates_.gate().times().typical_slowdowns())
         counts_.slowdowns[server] = slowdown;
+    // In each report, because a report or its coordinator may be lost.
+    counts_.leaving = view_.servers().leaving_servers();
     return std::exchange(counts_, {});
 }
 
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -62,6 +62,9 @@
     using request_ptr = std::shared_ptr<caller_request>;
 
     void withdraw_unsent();
+    void move_waiting();
+    void record_announcements(const caller_request& request,
+        const http_response& response, time_point now);
     void start_request(const request_ptr& request);
     void start_attempt(const request_ptr& request);
     void retry_later(const request_ptr& request, time_point now);
@@ -75,6 +78,8 @@
     std::optional<backend_server_id> usable_owner(
         caller_request& request, time_point now);
     bool owner_is_lost(const caller_request& request, time_point now) const;
+    milliseconds owner_rest(
+        const caller_request& request, time_point now) const;
     void send(const request_ptr& request, const backend_server_id& server,
         time_point now);
     bool may_still_send(const caller_request& request, time_point now) const;
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -38,7 +38,10 @@
     json slowdowns = json::object();
     for (const auto& [server, slowdown] : counts.slowdowns)
         slowdowns[server.value()] = slowdown;
-    return {{"requests", requests}, {"paces", slowdowns}};
+    json leaving = json::object();
+    for (const auto& [server, started] : counts.leaving)
+        leaving[server.value()] = started;
+    return {{"requests", requests}, {"paces", slowdowns}, {"leaving", leaving}};
 }
 
 load_counts decode_counts(const json& document)
@@ -51,6 +54,13 @@
     }
     for (const auto& [server, slowdown] : document.at("paces").items())
         counts.slowdowns[backend_server_id(server)] = slowdown.get<double>();
+    // An instance of an earlier release does not send them.
+    if (document.contains("leaving")) {
+        for (const auto& [server, started] : document.at("leaving").items()) {
+            counts.leaving[backend_server_id(server)] =
+                started.get<std::uint64_t>();
+        }
+    }
     return counts;
 }
 
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -34,11 +34,9 @@
     // Typical duration of the work of each server, relative to the mean of its
     // service.
     std::map<backend_server_id, double> slowdowns;
-
-    bool empty() const
-    {
-        return requests.empty() && slowdowns.empty();
-    }
+    // Servers whose answers said that they are leaving, with the start of the
+    // incarnation that said so. Their keys have to move.
+    std::map<backend_server_id, std::uint64_t> leaving;
 };
 
 // The age of the coordinator's view.
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -81,6 +81,8 @@
           clock_),
       server_(view,
           [this](const instance_id&, const load_counts& counts) {
+              for (const auto& [server, started] : counts.leaving)
+                  view_.servers().set_leaving(server, started, clock_());
               if (controller_)
                   controller_->on_report(counts);
           }),
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -55,6 +55,7 @@
     server.entry = entry;
     server.cold_rate = cold_rate;
     by_service_[entry.service].insert(entry.id);
+    apply_announcement(server);
     if (entry.cold_left.count() > 0)
         make_cold(entry.id, entry.cold_left, uniform_random, now);
     record_usability(server, now);
@@ -142,7 +143,8 @@
 
 bool server_pool::usable(const observed_server& server) const
 {
-    return !server.entry.draining && !evacuated_.contains(server.entry.domain);
+    return !server.entry.draining && !server.leaving &&
+           !evacuated_.contains(server.entry.domain);
 }
 
 bool server_pool::cold(const observed_server& server, time_point now) const
@@ -152,13 +154,15 @@
 
 bool server_pool::may_send(const observed_server& server, time_point now) const
 {
-    return usable(server) &&
+    return usable(server) && !resting(server, now) &&
            (!cold(server, now) || now >= server.next_cold_send);
 }
 
 bool server_pool::allows_assigned(
     const observed_server& server, bool keyed, time_point now) const
 {
+    if (resting(server, now))
+        return false;
     return usable(server) ||
            (keyed && server.unusable_since &&
                now < *server.unusable_since + keyed_grace_period);
--- a/test/platform_adapter/adapter_test.cpp
+++ b/test/platform_adapter/adapter_test.cpp
@@ -26,6 +26,40 @@
  "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
    "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
 
+// Guards against a pause without end, and against one that is missed because it
+// is a fraction.
+TEST(decode_rest_test, ReadsSecondsAndBoundsThem)
+{
+    http_response response;
+    response.status = 503;
+    EXPECT_FALSE(decode_rest(response));
+    response.headers.set(header::retry_after, "0.25");
+    EXPECT_EQ(decode_rest(response), milliseconds(250));
+    response.headers.set(header::retry_after, "1e300");
+    EXPECT_EQ(decode_rest(response), milliseconds(60'000));
+    for (const char* text : {"nan", "inf", "-1", "0", "", "1e400", "soon"}) {
+        response.headers.set(header::retry_after, text);
+        const auto rest = decode_rest(response);
+        EXPECT_TRUE(!rest || *rest == milliseconds(60'000)) << text;
+    }
+    response.headers.set(header::retry_after, "1");
+    response.status = 429;
+    EXPECT_FALSE(decode_rest(response));
+}
+
+// Guards against a repeatable request that is not repeated.
+TEST(decode_config_test, TreatsDownloadsAsRepeatable)
+{
+    for (const auto& [type, repeatable] :
+        {std::pair("safe", true), std::pair("download", true),
+            std::pair("upload", false), std::pair("unsafe", false),
+            std::pair("other", false)}) {
+        std::string text = config_text;
+        text.replace(text.find("unsafe"), 6, type);
+        EXPECT_EQ(decode_config(text).routes[0].repeatable, repeatable) << type;
+    }
+}
+
 // Guards against a route that repeats requests that may run only once, and
 // against units that are mistaken: some values are in seconds. Unknown names
 // are ignored.
--- a/test/routing/routing_test.cpp
+++ b/test/routing/routing_test.cpp
@@ -178,6 +178,44 @@
     EXPECT_FALSE(pool.choose(service_id("maps"), request, at_ms(1)));
 }
 
+// Guards against a server that is used again after its entry has lapsed or was
+// written once more, and against an announcement that outlives its incarnation.
+TEST(ServerPool, KeepsAnAnnouncementUntilTheServerHasStartedAnew)
+{
+    server_pool pool(failure_domain_id("a"), {1.5, 5});
+    const backend_server_id id("s1");
+    server_entry entry = server_builder("s1").build();
+    entry.started = 7;
+    pool.put(entry, 11, 0, at_ms(0));
+    EXPECT_TRUE(pool.set_leaving(id, 7, at_ms(10)));
+    EXPECT_FALSE(pool.set_leaving(id, 7, at_ms(20)));
+    pool.put(entry, 11, 0, at_ms(30));
+    EXPECT_FALSE(pool.usable(*pool.find(id)));
+    EXPECT_EQ(pool.withdrawn_servers(service_id("maps"), at_ms(30)).size(), 1U);
+    pool.remove(id);
+    pool.put(entry, 11, 0, at_ms(40));
+    EXPECT_FALSE(pool.usable(*pool.find(id)));
+    entry.started = 8;
+    pool.put(entry, 11, 0, at_ms(50));
+    EXPECT_TRUE(pool.usable(*pool.find(id)));
+    // A late answer of the earlier incarnation.
+    EXPECT_FALSE(pool.set_leaving(id, 7, at_ms(60)));
+    EXPECT_TRUE(pool.usable(*pool.find(id)));
+}
+
+// Guards against requests to a server that has asked for a pause.
+TEST(ServerPool, SendsNothingToAServerThatRests)
+{
+    server_pool pool(failure_domain_id("a"), {1.5, 5});
+    const backend_server_id id("s1");
+    pool.put(server_builder("s1").build(), 11, 0, at_ms(0));
+    pool.set_resting(id, pool.find(id)->entry.started, at_ms(500), at_ms(0));
+    EXPECT_FALSE(pool.may_send(*pool.find(id), at_ms(499)));
+    EXPECT_FALSE(pool.may_send_keyed(*pool.find(id), at_ms(499)));
+    EXPECT_FALSE(pool.allows_assigned(*pool.find(id), true, at_ms(499)));
+    EXPECT_TRUE(pool.may_send(*pool.find(id), at_ms(500)));
+}
+
 // Guards against a keyed server that still gets requests after it has been
 // known to drain for longer than the move of its keys takes.
 TEST(ServerPool, AllowsADrainingOwnerForAShortTime)
