Derive time bounds from the number of instances

- fleet_timing derives all of these bounds from the waiting time of a poll, which is 4 ms an instance and at most 1.5 s.
- A failed poll makes an instance watch the lease, and read everything else only when its view has reached the age that it may have.
An instance that has just started waits 1.5 s for a coordinator.
- Instances with a larger part of a processor take the lease first, also before the members are known.
- Changes are gathered for 1 ms an instance, at most 300 ms, and a reply is encoded once for all instances that lack the same changes.
Before, a poll that came during a series of changes was answered at once, so that each change cost each instance a reply.
- The owners of keys are published in 64 parts and only after a change.
Before, every renewal of a grant encoded all ranges, and each change sent all ranges of the service to every instance.
- Changes are applied together, the host of a gate is remembered while the members are the same, and the entries known at the start are one log line.
- One plan of keys may move as many ranges as a quarter of the servers, at least 16 as before: a busy range has to be spread over a part of the servers.

Tests of router and routing pass.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -75,6 +75,17 @@
 public:
     coordinator_lease(lease_record self, lease_options options);
 
+    // Sets `lease_options::takeover`, which depends on the size of the fleet.
+    void set_takeover(milliseconds time)
+    {
+        options_.takeover = time;
+    }
+    // Sets `lease_options::takeover_jitter`.
+    void set_takeover_jitter(milliseconds time)
+    {
+        options_.takeover_jitter = time;
+    }
+
     // To be called with each read of the lease object; `record` is empty if the
     // object does not exist. Reads of an older revision are ignored.
     void on_read(const std::optional<lease_record>& record,
--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -102,6 +102,11 @@
 
     // Ranges whose owner has accepted them.
     std::vector<key_range> granted() const;
+    // Changes whenever the result of `granted` may have changed.
+    std::uint64_t granted_version() const
+    {
+        return granted_version_;
+    }
     // Whether the owner of the range with this token has accepted it.
     bool is_granted(fencing_token token) const;
     // Tokens that a server refused as outdated, or that it may have had in an
@@ -173,6 +178,7 @@
     std::map<command_number, open_command> open_commands_;
     std::map<server_incarnation, unsigned> unanswered_;
     command_number last_command_;
+    std::uint64_t granted_version_ = 0;
 };
 
 } // namespace filberthub
--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -158,6 +158,8 @@
     const observed_server* find(const backend_server_id& id) const;
     std::vector<const observed_server*> of_service(
         const service_id& service) const;
+    // Returns the number of servers of a service.
+    std::size_t count_of(const service_id& service) const;
 
     // Whether new requests may be sent to the server at all.
     bool usable(const observed_server& server) const;
--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -21,6 +21,8 @@
 // instances add up.
 constexpr milliseconds fleet_size_retention{12'000};
 constexpr const char* served_prefix = "served/";
+constexpr std::size_t keys_per_part = key_count / deployment_view::served_parts;
+static_assert(key_count % deployment_view::served_parts == 0);
 constexpr error_kind published_error = error_kind::bad_peer_message;
 
 } // namespace
@@ -60,6 +62,25 @@
     if (!objects_.merge(object))
         return;
     apply(object, now);
+    report_change();
+}
+
+void deployment_view::report_change()
+{
+    change_pending_ = true;
+    if (open_batches_ == 0)
+        end_batch();
+}
+
+void deployment_view::end_batch()
+{
+    if (!std::exchange(change_pending_, false))
+        return;
+    if (!first_servers_logged_ && !entries_.empty()) {
+        first_servers_logged_ = true;
+        log_event(
+            log_level::info, "servers known", {{"servers", entries_.size()}});
+    }
     if (change_callback_)
         change_callback_();
 }
@@ -74,8 +95,8 @@
         servers_known_ = true;
     for (const versioned_object& object : changes)
         apply(object, now);
-    if (!changes.empty() && change_callback_)
-        change_callback_();
+    if (!changes.empty())
+        report_change();
 }
 
 void deployment_view::apply(const versioned_object& object, time_point now)
@@ -106,8 +127,7 @@
         if (object.key == members_key)
             apply_members(object);
         else
-            apply_served(
-                object.key.substr(std::string(served_prefix).size()), object);
+            apply_served(object);
     } catch (const std::exception& failure) {
         log_event(log_level::warn, "published object is malformed",
             {{"key", object.key}, {log_key::error, shorten(failure.what())}});
@@ -178,7 +198,9 @@
     try {
         const server_entry entry =
             platform_api::decode_server(name, *object.value);
-        log_event(log_level::info, "server entry updated",
+        // At the start there is one for each server of the deployment.
+        log_event(first_servers_logged_ ? log_level::info : log_level::debug,
+            "server entry updated",
             {{log_key::server, name}, {log_key::service, entry.service.value()},
                 {"draining", entry.draining},
                 {"cold_ms", entry.cold_left.count()},
@@ -244,6 +266,7 @@
             endpoint_from_string(row.at(1).get<std::string>()), share});
     }
     members_ = std::move(members);
+    ++members_version_;
 }
 
 std::string deployment_view::encode_members(
@@ -257,8 +280,7 @@
     return rows.dump();
 }
 
-void deployment_view::apply_served(
-    const std::string& service, const versioned_object& object)
+void deployment_view::apply_served(const versioned_object& object)
 {
     if (!object.value)
         return;
@@ -268,7 +290,7 @@
             {row.at(0).get<key_number>(), row.at(1).get<key_number>(),
                 backend_server_id(row.at(2).get<std::string>())});
     }
-    served_[service_id(service)] = std::move(ranges);
+    served_[object.key] = std::move(ranges);
 }
 
 void deployment_view::refresh_servers(time_point now)
@@ -309,8 +331,8 @@
         it = deferred_removals_.erase(it);
         removed_any = true;
     }
-    if (removed_any && change_callback_)
-        change_callback_();
+    if (removed_any)
+        report_change();
 }
 
 std::optional<std::uint64_t> deployment_view::incarnation_of(
@@ -325,7 +347,9 @@
 std::optional<backend_server_id> deployment_view::owner_of(
     const service_id& service, key_number key) const
 {
-    const auto found = served_.find(service);
+    if (key >= key_count)
+        return std::nullopt;
+    const auto found = served_.find(served_key(service, key / keys_per_part));
     if (found == served_.end())
         return std::nullopt;
     const std::vector<served_range>& ranges = found->second;
@@ -341,18 +365,30 @@
     return it->owner;
 }
 
-std::string deployment_view::served_key(const service_id& service)
+std::string deployment_view::served_key(
+    const service_id& service, std::size_t part)
 {
-    return served_prefix + service.value();
+    return served_prefix + service.value() + "/" + std::to_string(part);
 }
 
-std::string deployment_view::encode_served_ranges(
+std::vector<std::string> deployment_view::encode_served_ranges(
     const std::vector<key_range>& ranges)
 {
-    json rows = json::array();
-    for (const key_range& range : ranges)
-        rows.push_back({range.first, range.last, range.owner.id.value()});
-    return rows.dump();
+    std::vector<json> parts(served_parts, json::array());
+    for (const key_range& range : ranges) {
+        for (std::size_t part = range.first / keys_per_part;
+             part <= range.last / keys_per_part; ++part) {
+            const auto first = static_cast<key_number>(part * keys_per_part);
+            const auto last =
+                static_cast<key_number>(first + keys_per_part - 1);
+            parts.at(part).push_back({std::max(range.first, first),
+                std::min(range.last, last), range.owner.id.value()});
+        }
+    }
+    std::vector<std::string> texts;
+    for (const json& part : parts)
+        texts.push_back(part.dump());
+    return texts;
 }
 
 } // namespace filberthub
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -72,6 +72,17 @@
     // Applies the deferred removals that are due. To be called at each tick.
     void apply_deferred_removals(time_point now);
 
+    // Applies objects together: the function set with `on_change` is called
+    // once at the end.
+    template <class Function>
+    void update_together(const Function& function)
+    {
+        ++open_batches_;
+        function();
+        if (--open_batches_ == 0)
+            end_batch();
+    }
+
     // Sets the function that is called each time after objects were applied.
     void on_change(std::function<void()> callback);
 
@@ -109,6 +120,11 @@
     {
         return members_;
     }
+    // Changes whenever the members change.
+    std::uint64_t members_version() const
+    {
+        return members_version_;
+    }
     // Returns the content of the object at `members_key`.
     static std::string encode_members(
         const std::vector<live_instance>& members);
@@ -132,11 +148,16 @@
 
     // Key of the object that lists the members of the fleet.
     static constexpr const char* members_key = "fleet/members";
-    // Returns the key of the object that lists the served key ranges of a
-    // service.
-    static std::string served_key(const service_id& service);
-    // Returns the content of the object at `served_key`.
-    static std::string encode_served_ranges(
+    // The keys of a service are divided into this number of equal parts, and
+    // the owners of each part are one object, so that a move of keys changes a
+    // small object only.
+    static constexpr std::size_t served_parts = 64;
+    // Returns the key of the object that lists the served key ranges of one
+    // part of the keys of a service.
+    static std::string served_key(const service_id& service, std::size_t part);
+    // Returns the contents of the objects at `served_key`, in the order of the
+    // parts. `ranges` are sorted and do not overlap.
+    static std::vector<std::string> encode_served_ranges(
         const std::vector<key_range>& ranges);
 
 private:
@@ -148,8 +169,9 @@
         const versioned_object& object, time_point now);
     void apply_published(const versioned_object& object);
     void apply_members(const versioned_object& object);
-    void apply_served(
-        const std::string& service, const versioned_object& object);
+    void apply_served(const versioned_object& object);
+    void report_change();
+    void end_batch();
     void refresh_servers(time_point now);
 
     object_cache objects_;
@@ -162,8 +184,14 @@
     // By key, the earliest time at which the last change may have happened.
     std::map<std::string, time_point> changed_since_;
     std::set<failure_domain_id> evacuated_;
-    std::map<service_id, std::vector<served_range>> served_;
+    // By key of the published object.
+    std::map<std::string, std::vector<served_range>> served_;
     std::vector<live_instance> members_;
+    std::uint64_t members_version_ = 0;
+    unsigned open_batches_ = 0;
+    bool change_pending_ = false;
+    // Whether the first entries of servers were logged as a number.
+    bool first_servers_logged_ = false;
     std::function<void()> change_callback_;
     std::size_t fleet_size_;
     std::optional<time_point> fleet_size_updated_;
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -11,20 +11,7 @@
 namespace filberthub {
 namespace {
 
-// Replies at this interval cost the coordinator little and reveal a lost
-// coordinator soon.
-constexpr milliseconds min_poll_wait{400};
-// Lengthens the interval in proportion to the fleet, so that the coordinator's
-// rate of replies does not grow in large fleets.
-constexpr milliseconds poll_wait_per_instance{6};
-// Time that a reply may take beyond the waiting time of its poll.
-constexpr milliseconds reply_slack{600};
 constexpr milliseconds retry_delay{250};
-// An instance that has not polled for this time is regarded as gone.
-constexpr milliseconds member_timeout{1'500};
-// After this age the process starts its own watch of the store. Both together
-// stay within the platform's tightest bound of 2 s for changes to arrive.
-constexpr milliseconds max_view_age{1'150};
 
 json encode_counts(const load_counts& counts)
 {
@@ -79,10 +66,9 @@
     : view_(view), on_report_(std::move(on_report))
 {}
 
-milliseconds feed_server::poll_wait() const
+fleet_timing feed_server::timing() const
 {
-    return std::max(min_poll_wait,
-        poll_wait_per_instance * static_cast<int>(members_.size()));
+    return fleet_timing(members_.size() + 1);
 }
 
 void feed_server::on_poll(std::shared_ptr<http_exchange> exchange,
@@ -104,9 +90,13 @@
         poll.after_change = document.at("run").get<std::uint64_t>() == run_id
                                 ? document.at("after").get<std::uint64_t>()
                                 : 0;
-        poll.answer_by = now + poll_wait();
-        if (view_.objects().last_change() > poll.after_change) {
-            reply(poll, run_id, age, now);
+        poll.answer_by = now + timing().poll_wait();
+        // An instance that knows nothing yet cannot serve. The others get
+        // changes together, so that a series of changes does not become a
+        // series of replies to each.
+        if (poll.after_change == 0 && view_.objects().last_change() > 0) {
+            poll.exchange->respond(
+                text_response(200, encode_reply(0, run_id, age, now)));
             return;
         }
         polls_.push_back(std::move(poll));
@@ -118,35 +108,62 @@
     }
 }
 
-void feed_server::reply(
-    open_poll& poll, std::uint64_t run_id, feed_age age, time_point now)
+std::string feed_server::encode_reply(std::uint64_t after_change,
+    std::uint64_t run_id, feed_age age, time_point now) const
 {
     json objects = json::array();
     for (const versioned_object& object :
-        view_.objects().changes_after(poll.after_change)) {
+        view_.objects().changes_after(after_change)) {
         objects.push_back({object.key, object.version.value(),
             object.value ? json(*object.value) : json(nullptr),
             view_.max_change_age(object.key, now).count()});
     }
-    poll.exchange->respond(text_response(
-        200, json{{"run", run_id}, {"change", view_.objects().last_change()},
-                 {"facts", objects}, {"fleet", view_.fleet_size()},
-                 {"hold_ms", poll_wait().count()},
-                 {"store_age_ms", age.store.count()},
-                 {"view_age_ms", age.view.count()}}
-                 .dump(-1, ' ', false, json::error_handler_t::replace)));
+    return json{{"run", run_id}, {"change", view_.objects().last_change()},
+        {"facts", objects}, {"fleet", view_.fleet_size()},
+        {"hold_ms", timing().poll_wait().count()},
+        {"store_age_ms", age.store.count()}, {"view_age_ms", age.view.count()}}
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool feed_server::has_changes_to_send() const
+{
+    return std::any_of(
+        polls_.begin(), polls_.end(), [this](const open_poll& poll) {
+            return view_.objects().last_change() > poll.after_change;
+        });
+}
+
+void feed_server::answer_due(std::uint64_t run_id, feed_age age, time_point now)
+{
+    answer_if(run_id, age, now,
+        [now](const open_poll& poll) { return now >= poll.answer_by; });
 }
 
 void feed_server::flush(std::uint64_t run_id, feed_age age, time_point now)
+{
+    answer_if(run_id, age, now, [this, now](const open_poll& poll) {
+        return now >= poll.answer_by ||
+               view_.objects().last_change() > poll.after_change;
+    });
+}
+
+template <class Condition>
+void feed_server::answer_if(
+    std::uint64_t run_id, feed_age age, time_point now, const Condition& is_due)
 {
     std::vector<open_poll> waiting;
     waiting.swap(polls_);
+    // Most instances have the same changes, so that one text serves them all.
+    std::map<std::uint64_t, std::string> replies;
     for (open_poll& poll : waiting) {
-        if (now >= poll.answer_by ||
-            view_.objects().last_change() > poll.after_change)
-            reply(poll, run_id, age, now);
-        else
+        if (!is_due(poll)) {
             polls_.push_back(std::move(poll));
+            continue;
+        }
+        std::string& text = replies[poll.after_change];
+        if (text.empty())
+            text = encode_reply(poll.after_change, run_id, age, now);
+        poll.exchange->respond(text_response(200, text));
     }
 }
 
@@ -161,8 +178,9 @@
 
 std::size_t feed_server::fleet_size(time_point now)
 {
-    std::erase_if(members_, [now](const auto& member) {
-        return now >= member.second.last_poll + member_timeout;
+    const milliseconds timeout = timing().member_timeout();
+    std::erase_if(members_, [&](const auto& member) {
+        return now >= member.second.last_poll + timeout;
     });
     return members_.size() + 1;
 }
@@ -197,7 +215,7 @@
     if (same || (!coordinator && !coordinator_))
         return;
     coordinator_ = coordinator;
-    view_complete_until_.reset();
+    answering_ = false;
     poll_timer_.stop();
     client_.reset();
     if (!coordinator)
@@ -215,7 +233,7 @@
 bool feed_client::fresh(time_point now) const
 {
     return view_complete_until_ &&
-           now < *view_complete_until_ + max_view_age + poll_wait_;
+           now < *view_complete_until_ + timing_.max_view_age();
 }
 
 void feed_client::poll()
@@ -231,19 +249,18 @@
         {"run", run_id_}, {"after", last_change_},
         {"counts", encode_counts(take_load_counts_())}}
                        .dump();
-    client_->send(std::move(request), poll_wait_ + reply_slack,
+    client_->send(std::move(request), timing_.poll_timeout(),
         [this](http_result result) { on_reply(std::move(result)); });
 }
 
 void feed_client::on_reply(http_result result)
 {
+    answering_ = result.response && result.response->status == 200;
     if (!result.response) {
-        view_complete_until_.reset();
         poll_timer_.start(retry_delay);
         return;
     }
-    if (result.response->status != 200) {
-        view_complete_until_.reset();
+    if (!answering_) {
         poll_timer_.start(retry_delay);
         if (on_refused_)
             on_refused_();
@@ -268,26 +285,29 @@
     const json document = parse_json(body, error_kind::bad_peer_message);
     const auto run_id = document.at("run").get<std::uint64_t>();
     const bool was_fresh = fresh(now);
-    for (const json& row : document.at("facts")) {
-        // A coordinator of an earlier release does not send the age.
-        const milliseconds change_age(
-            row.size() > 3 ? read_milliseconds(row.at(3)) : milliseconds(0));
-        const time_point changed_since = now - change_age;
-        view_.set_changes_missed_since(
-            was_fresh ? changed_since
-                      : std::min(changed_since, complete_until_));
-        versioned_object object;
-        object.key = row.at(0).get<std::string>();
-        object.version = object_version(row.at(1).get<std::uint64_t>());
-        if (!row.at(2).is_null())
-            object.value = row.at(2).get<std::string>();
-        view_.update(object, now);
-    }
+    view_.update_together([&] {
+        for (const json& row : document.at("facts")) {
+            // A coordinator of an earlier release does not send the age.
+            const milliseconds change_age(row.size() > 3
+                                              ? read_milliseconds(row.at(3))
+                                              : milliseconds(0));
+            const time_point changed_since = now - change_age;
+            view_.set_changes_missed_since(
+                was_fresh ? changed_since
+                          : std::min(changed_since, complete_until_));
+            versioned_object object;
+            object.key = row.at(0).get<std::string>();
+            object.version = object_version(row.at(1).get<std::uint64_t>());
+            if (!row.at(2).is_null())
+                object.value = row.at(2).get<std::string>();
+            view_.update(object, now);
+        }
+    });
     view_.set_changes_missed_since(std::nullopt);
     run_id_ = run_id;
     last_change_ = document.at("change").get<std::uint64_t>();
     view_.set_fleet_size(document.at("fleet").get<std::size_t>(), now);
-    poll_wait_ = read_milliseconds(document.at("hold_ms"));
+    timing_ = fleet_timing(read_milliseconds(document.at("hold_ms")));
     view_complete_until_ = now - read_milliseconds(document.at("view_age_ms"));
     complete_until_ = std::max(complete_until_, *view_complete_until_);
     return read_milliseconds(document.at("store_age_ms"));
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -11,6 +11,7 @@
 #define FILBERTHUB_ROUTER_FLEET_FEED_HPP
 
 #include "router/deployment_view.hpp"
+#include "router/fleet_timing.hpp"
 
 #include <filberthub/net/http_client.hpp>
 #include <filberthub/net/http_listener.hpp>
@@ -57,14 +58,19 @@
     feed_server(deployment_view& view,
         std::function<void(const instance_id&, const load_counts&)> on_report);
 
-    // Records the report in a poll, and answers the poll when objects have
-    // changed or its waiting time is over. `run_id` identifies this process. A
-    // malformed poll is answered with status 400.
+    // Records the report in a poll, and keeps the poll for `flush` and
+    // `answer_due`. The first poll of an instance is answered at once. `run_id`
+    // identifies this process. A malformed poll is answered with status 400.
     void on_poll(std::shared_ptr<http_exchange> exchange, std::uint64_t run_id,
         feed_age age, time_point now);
+    // Whether objects have changed for an instance that waits for an answer.
+    bool has_changes_to_send() const;
     // Answers the polls for which objects have changed or whose waiting time is
-    // over. To be called at each tick and after changes.
+    // over. To be called some time after a change; see
+    // `fleet_timing::flush_delay`.
     void flush(std::uint64_t run_id, feed_age age, time_point now);
+    // Answers the polls whose waiting time is over. To be called at each tick.
+    void answer_due(std::uint64_t run_id, feed_age age, time_point now);
     // Answers all open polls with status 409. To be called when this process
     // stops coordinating.
     void refuse_all();
@@ -84,10 +90,12 @@
         time_point answer_by;
     };
 
-    void reply(
-        open_poll& poll, std::uint64_t run_id, feed_age age, time_point now);
-    // Returns how long a poll may wait for a change.
-    milliseconds poll_wait() const;
+    template <class Condition>
+    void answer_if(std::uint64_t run_id, feed_age age, time_point now,
+        const Condition& is_due);
+    std::string encode_reply(std::uint64_t after_change, std::uint64_t run_id,
+        feed_age age, time_point now) const;
+    fleet_timing timing() const;
 
     deployment_view& view_;
     std::function<void(const instance_id&, const load_counts&)> on_report_;
@@ -124,6 +132,17 @@
     // Whether the view is as recent through the coordinator as it would be with
     // watches of the store by this process.
     bool fresh(time_point now) const;
+    // Whether the coordinator has answered the last poll. If not, there may be
+    // another one, or none.
+    bool answering() const
+    {
+        return answering_;
+    }
+    // The time bounds that the coordinator has announced.
+    const fleet_timing& timing() const
+    {
+        return timing_;
+    }
 
     // Returns the time up to which a coordinator has delivered all changes.
     time_point complete_until() const
@@ -164,10 +183,10 @@
     std::uint64_t last_change_ = 0;
     // Identifies the coordinator process that counted `last_change_`.
     std::uint64_t run_id_ = 0;
-    // How long the coordinator keeps a poll open without changes.
-    milliseconds poll_wait_{400};
-    // Time up to which the coordinator's view was complete at its last reply.
-    // Absent after a failed poll.
+    fleet_timing timing_{std::size_t{1}};
+    bool answering_ = false;
+    // Time up to which the view of the coordinator was complete at its last
+    // reply.
     std::optional<time_point> view_complete_until_;
     // Largest value that `view_complete_until_` has had.
     time_point complete_until_;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -13,12 +13,14 @@
 // Position of the term in the version of an object that the coordinator
 // publishes.
 constexpr unsigned term_shift = 32;
-// Changes that arrive within this time are sent to the instances together.
-constexpr milliseconds flush_delay{3};
 constexpr milliseconds local_report_interval{300};
-// At the start of a deployment the coordinator reads the store for all
-// instances. An instance without a coordinator reads it itself after this time.
+// An instance without changes from a coordinator reads the store itself after
+// this time.
 constexpr milliseconds isolation_grace{250};
+// The same if it has just started. The coordinator, which may have just started
+// too, reads the store for all; each instance that reads all servers costs
+// dozens of calls.
+constexpr milliseconds start_grace{1'500};
 // A working watch of the lease is answered at least this often.
 constexpr milliseconds max_reachable_store_age{3'800};
 // Reported as the age of information that was never received.
@@ -31,10 +33,13 @@
 constexpr milliseconds deferral_after_outage{2'100};
 // Upper bound of the random delay before a takeover.
 constexpr double takeover_jitter_ms = 400;
-// Instances below this share of a processor delay their takeover, so that an
-// instance with a larger share takes over first if there is one.
-constexpr double small_processor_share = 0.1;
-constexpr milliseconds small_processor_delay{500};
+// The work of the coordinator grows with the fleet, so that instances with a
+// larger share of a processor take over first. An instance delays its takeover
+// if a member has this multiple of its share, or, while it knows no members, if
+// its share is small.
+constexpr double larger_share_factor = 2;
+constexpr double small_processor_share = 0.25;
+constexpr milliseconds small_processor_delay{300};
 
 // The coordinator sends changes on at once. While all instances watch the store
 // themselves, each change would cost each instance a billed call, so they wait
@@ -43,15 +48,23 @@
 constexpr watch_timing coordinator_timing{milliseconds(0), milliseconds(1'000)};
 constexpr watch_timing isolated_timing{milliseconds(250), milliseconds(2'000)};
 
-lease_options make_lease_options(
-    const route_settings& settings, double uniform_random)
+milliseconds make_takeover_jitter(double uniform_random)
 {
-    lease_options options;
-    options.takeover_jitter = milliseconds(
+    return milliseconds(
         static_cast<std::int64_t>(uniform_random * takeover_jitter_ms));
-    if (settings.processor_share < small_processor_share)
-        options.takeover_jitter += small_processor_delay;
-    return options;
+}
+
+// Whether another instance should rather coordinate.
+bool is_small(
+    const route_settings& settings, const std::vector<live_instance>& members)
+{
+    if (members.empty())
+        return settings.processor_share < small_processor_share;
+    return std::any_of(
+        members.begin(), members.end(), [&](const live_instance& member) {
+            return member.processor_share >=
+                   settings.processor_share * larger_share_factor;
+        });
 }
 
 lease_record make_self_record(
@@ -74,7 +87,8 @@
       take_load_counts_(std::move(take_load_counts)),
       clock_(std::move(clock)),
       self_(make_self_record(settings, view.uniform_random())),
-      lease_(self_, make_lease_options(settings, view.uniform_random())),
+      takeover_jitter_(make_takeover_jitter(view.uniform_random())),
+      lease_(self_, lease_options{}),
       store_(
           settings.store, metrics,
           [this](const watch_update& update) { on_watch_update(update); },
@@ -151,8 +165,10 @@
             platform_api::removal_version(update.store_revision), now);
         return;
     }
-    for (const versioned_object& object : update.objects)
-        view_.update(object, now);
+    view_.update_together([&] {
+        for (const versioned_object& object : update.objects)
+            view_.update(object, now);
+    });
 }
 
 // Runs a tick soon, because the next regular one may be too late for a change
@@ -170,6 +186,11 @@
 
 void fleet_role::tick(time_point now)
 {
+    lease_.set_takeover(client_.timing().takeover());
+    lease_.set_takeover_jitter(
+        takeover_jitter_ + (is_small(settings_, view_.members())
+                                   ? small_processor_delay
+                                   : milliseconds(0)));
     renew(now);
     if (lease_.is_holder() && !leaving_)
         coordinate(now);
@@ -206,7 +227,8 @@
         publish_members(now);
     }
     controller_->advance(now);
-    server_.flush(self_.run_id, view_age(now), now);
+    server_.answer_due(self_.run_id, view_age(now), now);
+    flush_soon();
 }
 
 void fleet_role::publish_members(time_point now)
@@ -237,6 +259,11 @@
     const bool follows_other =
         record && !record->holder.empty() && record->run_id != self_.run_id;
     client_.follow(follows_other ? record : std::nullopt);
+    if (client_.fresh(now) && !client_.answering()) {
+        // The view is recent enough, but there may be another coordinator.
+        store_.watch_lease(true);
+        return;
+    }
     if (client_.fresh(now)) {
         if (isolated_since_)
             log_event(
@@ -258,7 +285,8 @@
     const bool reachable = store_age(now) < max_reachable_store_age;
     if (!reachable)
         store_.watch_deployment(false);
-    else if (now >= *isolated_since_ + isolation_grace)
+    else if (now >=
+             *isolated_since_ + (view_.ready() ? isolation_grace : start_grace))
         store_.watch_deployment(true);
 }
 
@@ -277,12 +305,20 @@
         return;
     }
     server_.on_poll(std::move(exchange), self_.run_id, view_age(now), now);
+    flush_soon();
 }
 
 void fleet_role::on_view_changed()
 {
-    if (controller_ && !flush_timer_.isActive())
-        flush_timer_.start(flush_delay);
+    flush_soon();
+}
+
+// Sends changes to the instances after the time for which they are gathered.
+void fleet_role::flush_soon()
+{
+    if (controller_ && !flush_timer_.isActive() &&
+        server_.has_changes_to_send())
+        flush_timer_.start(fleet_timing::flush_delay(view_.fleet_size()));
 }
 
 void fleet_role::leave()
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -60,6 +60,7 @@
     void follow(time_point now);
     void renew(time_point now);
     void tick_soon();
+    void flush_soon();
     void write_lease(const lease_write& write);
     void read_lease();
     void apply_lease_reply(const std::string& body);
@@ -75,6 +76,8 @@
     std::function<load_counts()> take_load_counts_;
     std::function<time_point()> clock_;
     lease_record self_;
+    // Random part of the delay before a takeover.
+    milliseconds takeover_jitter_;
     coordinator_lease lease_;
     store_session store_;
     feed_server server_;
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -86,7 +86,7 @@
 
 // Weighted rendezvous hashing: instances with a larger share of a processor
 // host proportionally more gates.
-const live_instance* gate_service::find_gate_host(
+const live_instance* gate_service::choose_gate_host(
     const std::string& group) const
 {
     const live_instance* best = nullptr;
@@ -105,6 +105,18 @@
     return best;
 }
 
+const live_instance* gate_service::find_gate_host(const std::string& group)
+{
+    if (hosts_version_ != view_.members_version()) {
+        hosts_version_ = view_.members_version();
+        hosts_.clear();
+    }
+    const auto [found, is_new] = hosts_.try_emplace(group, nullptr);
+    if (is_new)
+        found->second = choose_gate_host(group);
+    return found->second;
+}
+
 std::optional<std::uint64_t> gate_service::request_slot(
     slot_request request, std::size_t servers_of_service, callback on_reply)
 {
--- a/src/router/gate_service.hpp
+++ b/src/router/gate_service.hpp
@@ -19,6 +19,8 @@
 #include <QtNetwork/QHostAddress>
 #include <QtNetwork/QUdpSocket>
 
+#include <unordered_map>
+
 namespace filberthub {
 
 // A gate's reply to a request for a slot.
@@ -86,7 +88,8 @@
         bool granted = false;
     };
 
-    const live_instance* find_gate_host(const std::string& group) const;
+    const live_instance* find_gate_host(const std::string& group);
+    const live_instance* choose_gate_host(const std::string& group) const;
     void read_datagrams();
     void on_message(const json& message, const endpoint& sender);
     void on_slot_request(
@@ -105,6 +108,10 @@
     slot_gate gate_;
     QUdpSocket socket_;
     std::map<std::uint64_t, pending_request> pending_;
+    // The hosts of gates that were requested from, while the members are those
+    // of `hosts_version_`: the choice compares all members.
+    std::unordered_map<std::string, const live_instance*> hosts_;
+    std::uint64_t hosts_version_ = 0;
     // No slots are requested at these addresses until then.
     std::map<endpoint, time_point> unreachable_until_;
     std::uint64_t last_number_ = 0;
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -280,12 +280,26 @@
 void ownership_controller::publish(
     const service_id& id, service_ownership& service, time_point now)
 {
-    const std::string text =
-        deployment_view::encode_served_ranges(service.keys.granter().granted());
-    if (text == service.published_ranges)
+    const key_granter& granter = service.keys.granter();
+    if (service.published_version == granter.granted_version())
         return;
-    service.published_ranges = text;
-    const std::string key = deployment_view::served_key(id);
+    service.published_version = granter.granted_version();
+    const auto parts = deployment_view::encode_served_ranges(granter.granted());
+    service.published_parts.resize(parts.size());
+    view_.update_together([&] {
+        for (std::size_t part = 0; part < parts.size(); ++part) {
+            if (service.published_parts[part] == parts[part])
+                continue;
+            service.published_parts[part] = parts[part];
+            publish_part(id, part, parts[part], now);
+        }
+    });
+}
+
+void ownership_controller::publish_part(const service_id& id, std::size_t part,
+    const std::string& text, time_point now)
+{
+    const std::string key = deployment_view::served_key(id, part);
     // This process may have published in the same term before its lease lapsed.
     const versioned_object* known = view_.objects().find(key);
     if (known != nullptr && known->version.value() >> term_shift == term_) {
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -45,8 +45,10 @@
         key_coordinator keys;
         bool started = false;
         time_point next_plan;
-        // The last published text of the served key ranges.
-        std::string published_ranges;
+        // The last published texts of the served key ranges, by part.
+        std::vector<std::string> published_parts;
+        // `key_granter::granted_version` at that time.
+        std::optional<std::uint64_t> published_version;
         // Whether the outcome of the last table write is unknown.
         bool needs_read_back = false;
     };
@@ -66,6 +68,8 @@
     void send_command(const service_id& id, const grant_command& command);
     void publish(
         const service_id& id, service_ownership& service, time_point now);
+    void publish_part(const service_id& id, std::size_t part,
+        const std::string& text, time_point now);
     void end_stale_incarnations(service_ownership& service);
     void on_connection_lost(const backend_server_id& id);
     http_client& client_of(const backend_server_id& id);
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -21,6 +21,7 @@
 void key_granter::take_over(
     const key_table& table, time_point earlier_grants_end, time_point now)
 {
+    ++granted_version_;
     states_.clear();
     open_commands_.clear();
     for (const key_range& range : table.ranges) {
@@ -133,10 +134,12 @@
         next.emplace(range.token, make_state(range, now));
     }
     states_ = std::move(next);
+    ++granted_version_;
 }
 
 void key_granter::on_incarnation_ended(const server_incarnation& server)
 {
+    ++granted_version_;
     for (auto& [token, state] : states_) {
         std::erase_if(state.earlier_holders, [&](const earlier_holder& holder) {
             return holder.server == server;
@@ -235,6 +238,8 @@
         // arrived before its answer, so the grant ends by then at the latest.
         state.granted_until = std::max(now + options_.max_grant_duration(),
             state.current_token_unclear_until);
+        if (!state.accepted)
+            ++granted_version_;
         state.accepted = true;
         return;
     case grant_reply::outdated:
--- a/src/routing/key_plan.hpp
+++ b/src/routing/key_plan.hpp
@@ -12,8 +12,10 @@
 namespace filberthub::detail {
 
 // Limits the disruption of one plan: each move costs a release and a grant, and
-// makes its keys unavailable in between.
-inline constexpr int max_moves_per_plan = 16;
+// makes its keys unavailable in between. A busy range of keys has to be spread
+// over a part of the servers that does not shrink in large services.
+inline constexpr int min_moves_per_plan = 16;
+inline constexpr int servers_per_move = 4;
 // Smaller moves, relative to the target load of the receiver, are not made,
 // because they are not worth their cost.
 inline constexpr double min_move_fraction = 0.1;
@@ -213,6 +215,12 @@
         return options_.count_noise_factor * std::sqrt(2 * std::log(count));
     }
 
+    int max_moves() const
+    {
+        return std::max(min_moves_per_plan,
+            static_cast<int>(servers_.size()) / servers_per_move);
+    }
+
     // The load above which keys are moved away from a server.
     double max_load(std::size_t server) const
     {
@@ -243,7 +251,7 @@
     {
         if (weights_.total() < options_.min_requests)
             return;
-        for (int moves = 0; moves < max_moves_per_plan; ++moves) {
+        for (int moves = 0; moves < max_moves(); ++moves) {
             const std::size_t from = most_overloaded();
             const std::size_t to = most_underloaded();
             if (from == none || to == none || from == to)
--- a/src/routing/key_plan_joining.cpp
+++ b/src/routing/key_plan_joining.cpp
@@ -16,8 +16,7 @@
 {
     const std::size_t max_ranges = options_.ranges_per_server * servers_.size();
     std::size_t count = joined_range_count();
-    for (int moves = 0; moves < max_moves_per_plan && count > max_ranges;
-         ++moves) {
+    for (int moves = 0; moves < max_moves() && count > max_ranges; ++moves) {
         std::size_t best = none;
         std::size_t receiver = none;
         for (std::size_t index = 0; index < segments_.size(); ++index) {
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -141,6 +141,12 @@
     return result;
 }
 
+std::size_t server_pool::count_of(const service_id& service) const
+{
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? 0 : found->second.size();
+}
+
 bool server_pool::usable(const observed_server& server) const
 {
     return !server.entry.draining && !server.leaving &&
--- a/test/platform_adapter/adapter_test.cpp
+++ b/test/platform_adapter/adapter_test.cpp
@@ -50,10 +50,9 @@
 // Guards against a repeatable request that is not repeated.
 TEST(decode_config_test, TreatsDownloadsAsRepeatable)
 {
-    for (const auto& [type, repeatable] :
-        {std::pair("safe", true), std::pair("download", true),
-            std::pair("upload", false), std::pair("unsafe", false),
-            std::pair("other", false)}) {
+    for (const auto& [type, repeatable] : {std::pair("safe", true),
+             std::pair("download", true), std::pair("upload", false),
+             std::pair("unsafe", false), std::pair("other", false)}) {
         std::string text = config_text;
         text.replace(text.find("unsafe"), 6, type);
         EXPECT_EQ(decode_config(text).routes[0].repeatable, repeatable) << type;
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -89,8 +89,9 @@
         follower_view_.update(
             {deployment_view::members_key, object_version(++version), odd},
             now_);
-        follower_view_.update({deployment_view::served_key(service_id("maps")),
-                                  object_version(++version), odd},
+        follower_view_.update(
+            {deployment_view::served_key(service_id("maps"), 0),
+                object_version(++version), odd},
             now_);
     }
     EXPECT_TRUE(follower_view_.members().empty());
