Test the feed and its time bounds at the sizes of large fleets

At 1, 24, 128, 295, 480, 1,000 and more instances: a member whose poll waits is not regarded as gone, a quiet fleet does not take the lease, a series of changes is one reply to each instance, and a moved key changes one part of the published owners.

--- /dev/null
+++ b/test/router/fleet_timing_test.cpp
@@ -0,0 +1,170 @@
+// Time bounds and the feed at the sizes of large fleets, without processes.
+
+#include "net/loop.hpp"
+
+#include "router/fleet_feed.hpp"
+
+#include <gtest/gtest.h>
+
+namespace filberthub {
+namespace {
+
+using test::run_until;
+
+class fleet_size_test : public testing::TestWithParam<std::size_t>
+{};
+
+// Guards against a bound that a healthy but quiet fleet exceeds: at 295
+// instances all of them tried to take the lease every two seconds, and left the
+// list of members although they polled.
+TEST_P(fleet_size_test, BoundsExceedTheWaitOfAPoll)
+{
+    const fleet_timing timing(GetParam());
+    // A reply may take this long on a small processor.
+    constexpr milliseconds reply_time(500);
+    EXPECT_GE(timing.poll_timeout(), timing.poll_wait() + reply_time);
+    EXPECT_GE(timing.member_timeout(), timing.poll_timeout());
+    EXPECT_GT(timing.takeover(), timing.poll_timeout());
+    EXPECT_GE(timing.max_view_age(), timing.member_timeout());
+    // The largest deployments allow 3 s for a change to take effect.
+    EXPECT_LT(timing.max_view_age(), milliseconds(3'000));
+    EXPECT_LE(fleet_timing::flush_delay(GetParam()), milliseconds(300));
+    // What the coordinator announces leads to the same bounds.
+    EXPECT_EQ(fleet_timing(timing.poll_wait()).takeover(), timing.takeover());
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, fleet_size_test,
+    testing::Values(1, 24, 128, 295, 480, 1'000, 1'000'000'000));
+
+// Guards against bounds that a faulty announcement makes useless.
+TEST(FleetTiming, BoundsAnAnnouncedWait)
+{
+    EXPECT_LT(fleet_timing(milliseconds(3'600'000)).max_view_age(),
+        milliseconds(3'000));
+    EXPECT_EQ(fleet_timing(milliseconds(0)).poll_wait(),
+        fleet_timing(std::size_t{1}).poll_wait());
+}
+
+// A coordinator with the polls of many instances, at a time that the test sets.
+class large_feed_test : public testing::Test
+{
+protected:
+    large_feed_test()
+        : view_(route_settings{}),
+          server_(view_, [](const instance_id&, const load_counts&) {}),
+          listener_({}, [this](std::shared_ptr<http_exchange> exchange) {
+              server_.on_poll(std::move(exchange), 7, feed_age{}, now_);
+              ++polls_;
+          })
+    {
+        listener_.listen({"127.0.0.1", 0});
+        change(1);
+    }
+
+    void change(std::uint64_t version)
+    {
+        view_.update({"server/i-1", object_version(version), "null"}, now_);
+    }
+
+    // Sends a poll of an instance that has the changes up to `after`.
+    void poll(std::size_t number, std::uint64_t after)
+    {
+        auto& client = clients_[number];
+        if (!client) {
+            client = std::make_unique<http_client>(
+                listener_.address(), http_client_options{});
+        }
+        http_request request;
+        request.method = "POST";
+        request.target = feed_path;
+        request.body = json{{"instance", "i" + std::to_string(number)},
+            {"address", "127.0.0.1:1"}, {"processor_share", 0.1},
+            {"leaving", false}, {"run", 7}, {"after", after},
+            {"counts",
+                {{"requests", json::object()}, {"paces", json::object()}}}}
+                           .dump();
+        client->send(std::move(request), milliseconds(20'000),
+            [this](const http_result& result) {
+                if (result.response && result.response->status == 200)
+                    ++replies_;
+            });
+    }
+
+    time_point now_ = time_point{} + std::chrono::hours(1);
+    deployment_view view_;
+    feed_server server_;
+    http_listener listener_;
+    std::map<std::size_t, std::unique_ptr<http_client>> clients_;
+    std::size_t polls_ = 0;
+    std::size_t replies_ = 0;
+};
+
+// Guards against instances that are regarded as gone while their polls wait.
+TEST_F(large_feed_test, KeepsMembersWhosePollsWait)
+{
+    constexpr std::size_t instances = 295;
+    for (std::size_t number = 0; number < instances; ++number)
+        poll(number, 1);
+    ASSERT_TRUE(run_until([&] { return polls_ == instances; }));
+    // The polls are answered when their time is over, not before.
+    now_ += fleet_timing(instances).poll_wait() - milliseconds(20);
+    server_.answer_due(7, feed_age{}, now_);
+    EXPECT_EQ(server_.fleet_size(now_), instances + 1);
+    EXPECT_EQ(replies_, 0U);
+    now_ += milliseconds(600);
+    EXPECT_EQ(server_.fleet_size(now_), instances + 1);
+    server_.answer_due(7, feed_age{}, now_);
+    ASSERT_TRUE(run_until([&] { return replies_ == instances; }));
+}
+
+// Guards against a series of changes that costs a reply to each instance for
+// each change.
+TEST_F(large_feed_test, SendsASeriesOfChangesTogether)
+{
+    poll(1, 0);
+    ASSERT_TRUE(run_until([&] { return replies_ == 1; }));
+    for (std::uint64_t version = 2; version < 50; ++version) {
+        poll(version, 1);
+        change(version);
+    }
+    ASSERT_TRUE(run_until([&] { return polls_ == 49; }));
+    EXPECT_TRUE(server_.has_changes_to_send());
+    EXPECT_EQ(replies_, 1U);
+    server_.flush(7, feed_age{}, now_);
+    ASSERT_TRUE(run_until([&] { return replies_ == 49; }));
+    EXPECT_FALSE(server_.has_changes_to_send());
+}
+
+// Guards against the owners of all keys that are sent to each instance when one
+// key moves.
+TEST(DeploymentView, PublishesOnlyThePartsWhoseOwnersChanged)
+{
+    const auto range = [](key_number first, key_number last, const char* id) {
+        return key_range{
+            first, last, {backend_server_id(id), 1}, fencing_token(1), {}};
+    };
+    const auto before = deployment_view::encode_served_ranges(
+        {range(0, 40'000, "s1"), range(40'001, 65'535, "s2")});
+    const auto after =
+        deployment_view::encode_served_ranges({range(0, 40'000, "s1"),
+            range(40'001, 40'001, "s3"), range(40'002, 65'535, "s2")});
+    ASSERT_EQ(before.size(), deployment_view::served_parts);
+    std::size_t changed = 0;
+    deployment_view view((route_settings()));
+    const service_id service("maps");
+    for (std::size_t part = 0; part < after.size(); ++part) {
+        changed += before[part] == after[part] ? 0 : 1;
+        view.update({deployment_view::served_key(service, part),
+                        object_version(1), after[part]},
+            time_point{});
+    }
+    EXPECT_EQ(changed, 1U);
+    EXPECT_EQ(view.owner_of(service, 0)->value(), "s1");
+    EXPECT_EQ(view.owner_of(service, 40'000)->value(), "s1");
+    EXPECT_EQ(view.owner_of(service, 40'001)->value(), "s3");
+    EXPECT_EQ(view.owner_of(service, 65'535)->value(), "s2");
+    EXPECT_FALSE(view.owner_of(service, 65'536));
+}
+
+} // namespace
+} // namespace filberthub
