Spread busy keys over many servers in few plans

Cause: callers of busy keys were refused for as long as the keys were busy. A key was moved only if it fitted into the free share of the receiver, relative to the average load; with 433 servers a key with a third of a server's capacity exceeds that although the server has room. The first key that did not fit ended the plan for all other servers, and so did a single key beyond the capacity of any server, which also raised the load that all others were expected to take.

A key that cannot be divided moves if the receiver is then clearly less loaded than the giver was. A server that cannot be relieved is passed over. A key counts with at most twice the average load of a server.

--- a/src/routing/key_plan.hpp
+++ b/src/routing/key_plan.hpp
@@ -37,10 +37,11 @@
           options_(options),
           load_(servers.size(), 0)
     {
-        idle_load_per_key_ =
-            idle_key_weight * std::max(weights.total(), 1.0) / key_count;
         for (const key_server& server : servers_)
             capacity_ += server.capacity;
+        idle_load_per_key_ =
+            idle_key_weight * std::max(weights.total(), 1.0) / key_count;
+        limit_key_weights();
         copy_ranges();
     }
 
@@ -77,11 +78,19 @@
         }
     };
 
+    // Sets the limit of the weight of a key.
+    void limit_key_weights();
+
+    double weight_of(key_number key) const
+    {
+        return std::min(weights_.of(key), key_weight_limit_);
+    }
+
     double load_of(key_number first, key_number last) const
     {
         double sum = idle_load_per_key_ * (last - first + 1);
         for (key_number key = first; key <= last; ++key)
-            sum += weights_.of(key);
+            sum += weight_of(key);
         return sum;
     }
 
@@ -146,7 +155,7 @@
         double sum = 0;
         key_number key = front.first;
         for (; key < front.last; ++key) {
-            const double weight = weights_.of(key) + idle_load_per_key_;
+            const double weight = weight_of(key) + idle_load_per_key_;
             // A heavy key goes to the side where it fits better.
             if (key > front.first && sum + weight / 2 > wanted_load)
                 break;
@@ -232,12 +241,14 @@
     }
 
     // Returns the server with the highest load relative to its target among
-    // those above `max_load`, or `none`.
-    std::size_t most_overloaded() const
+    // those above `max_load`, without those in `stuck`, or `none`.
+    std::size_t most_overloaded(const std::vector<bool>& stuck) const
     {
         std::size_t best = none;
         double max_ratio = 0;
         for (std::size_t index = 0; index < servers_.size(); ++index) {
+            if (stuck[index])
+                continue;
             const double ratio = load_[index] / std::max(target(index), 1e-9);
             if (ratio > max_ratio && load_[index] > max_load(index)) {
                 best = index;
@@ -247,51 +258,19 @@
         return best;
     }
 
-    void balance()
-    {
-        if (weights_.total() < options_.min_requests)
-            return;
-        for (int moves = 0; moves < max_moves(); ++moves) {
-            const std::size_t from = most_overloaded();
-            const std::size_t to = most_underloaded();
-            if (from == none || to == none || from == to)
-                return;
-            const double wanted_load =
-                std::min(load_[from] - target(from), target(to) - load_[to]);
-            if (wanted_load < min_move_fraction * target(to) ||
-                !move_keys(from, to, wanted_load))
-                return;
-        }
-    }
-
+    // Moves keys away from overloaded servers.
+    void balance();
+    // Whether the segment may be moved to relieve `from`.
+    bool may_move(const segment& item, std::size_t from, std::size_t to,
+        double wanted_load) const;
+    // Returns the heaviest segment of `from` of which a part may be moved, or
+    // `none`. Moving a small one as a whole would leave the keys that cause the
+    // overload where they are.
+    std::size_t heaviest_movable_segment(
+        std::size_t from, std::size_t to, double wanted_load) const;
     // Moves keys with a load of about `wanted_load` out of the heaviest segment
     // of `from`. Returns whether keys were moved.
-    bool move_keys(std::size_t from, std::size_t to, double wanted_load)
-    {
-        std::size_t best = none;
-        for (std::size_t index = 0; index < segments_.size(); ++index) {
-            const segment& item = segments_[index];
-            if (item.owner != from || item.awaits_release())
-                continue;
-            // The heaviest segment is split. Moving a small one as a whole
-            // would leave the keys that cause the overload where they are.
-            if (best == none || item.load > segments_[best].load)
-                best = index;
-        }
-        if (best == none)
-            return false;
-        if (segments_[best].load > wanted_load * 1.2)
-            split(best, wanted_load);
-        segment& moved = segments_[best];
-        // Moving more than the excess would only overload the other server.
-        if (moved.load > wanted_load * 1.5)
-            return false;
-        load_[from] -= moved.load;
-        load_[to] += moved.load;
-        moved.owner = to;
-        changed_ = true;
-        return true;
-    }
+    bool move_keys(std::size_t from, std::size_t to, double wanted_load);
 
     // Assign small segments to the owners of neighbors, and merge neighbors
     // with the same owner, so that the number of grants stays small.
@@ -354,6 +333,7 @@
     double total_ = 0;
     double capacity_ = 0;
     double idle_load_per_key_ = 0;
+    double key_weight_limit_ = 0;
     bool changed_ = false;
 };
 
--- a/test/routing/key_planner_test.cpp
+++ b/test/routing/key_planner_test.cpp
@@ -53,6 +53,67 @@
     EXPECT_EQ(table->ranges.size(), 4U);
 }
 
+// Guards against a busy range of keys that stays with a few of many servers for
+// as long as it is busy, because each plan moves only a few ranges.
+TEST(KeyPlanner, SpreadsABusyRangeOverManyServersInFewPlans)
+{
+    constexpr std::size_t server_count = 433;
+    std::vector<key_server> server_list;
+    for (std::size_t number = 0; number < server_count; ++number)
+        server_list.push_back(
+            {{backend_server_id("s" + std::to_string(number)), 1}, 1, true});
+    key_weights weights;
+    for (key_number key = 0; key < key_count; ++key)
+        weights.add(key, 0.1);
+    auto table = plan_keys({}, weights, server_list, {});
+    ASSERT_TRUE(table);
+    for (key_number key = 20'000; key < 20'200; ++key)
+        weights.add(key, 17);
+    for (int plan = 0; plan < 3; ++plan) {
+        for (key_range& range : table->ranges)
+            range.previous.clear();
+        if (const auto next = plan_keys(*table, weights, server_list, {}))
+            table = next;
+    }
+    expect_complete(*table);
+    double highest = 0;
+    for (const auto& [server, share] : shares(*table, weights))
+        highest = std::max(highest, share);
+    EXPECT_LT(highest, 3.0 / static_cast<double>(server_count));
+}
+
+// Guards against one key that no server can serve and that keeps the plan from
+// relieving the other servers, and its neighbors from being served.
+TEST(KeyPlanner, RelievesOtherServersBesideAKeyThatCannotBeDivided)
+{
+    const auto server_list = servers({"a", "b", "c", "d", "e", "f", "g", "h"});
+    key_weights weights;
+    for (key_number key = 0; key < key_count; ++key)
+        weights.add(key, 0.01);
+    auto table = plan_keys({}, weights, server_list, {});
+    ASSERT_TRUE(table);
+    constexpr key_number giant = 100;
+    weights.add(giant, 2'000);
+    for (key_number key = 50'000; key < 50'100; ++key)
+        weights.add(key, 8);
+    for (int plan = 0; plan < 4; ++plan) {
+        for (key_range& range : table->ranges)
+            range.previous.clear();
+        if (const auto next = plan_keys(*table, weights, server_list, {}))
+            table = next;
+    }
+    expect_complete(*table);
+    const std::string owner = table->find(giant)->owner.id.value();
+    const double average = (weights.total() - weights.of(giant)) /
+                           static_cast<double>(server_list.size() - 1);
+    for (const auto& [server, share] : shares(*table, weights)) {
+        if (server == owner)
+            EXPECT_LT(share * weights.total(), weights.of(giant) + average / 2);
+        else
+            EXPECT_LT(share * weights.total(), average * 1.5) << server;
+    }
+}
+
 // Guards against writes of tables that need no change.
 TEST(KeyPlanner, ReturnsNothingForABalancedTable)
 {
