Find the servers of a gate's group without building names

Each request for a slot, and each end of a request while others wait, looked at all servers of the service: a search by id and two texts for each, with 233 servers. The hash of an id is kept with the server, and the servers of a service are kept in order.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -80,6 +80,8 @@
 struct observed_server
 {
     server_entry entry;
+    // Hash of its id, from which its group follows.
+    std::uint64_t id_hash = 0;
     // Requests per second that the server tolerates while it is cold.
     double cold_rate = 0;
     time_point cold_until;
@@ -219,7 +221,9 @@
     cold_bound bound_;
     std::size_t fleet_size_ = 1;
     std::map<backend_server_id, observed_server> servers_;
-    std::map<service_id, std::set<backend_server_id>> by_service_;
+    // The servers of each service, in the order of their ids.
+    std::map<service_id, std::map<backend_server_id, const observed_server*>>
+        by_service_;
     service_time_tracker times_;
     std::set<failure_domain_id> evacuated_;
     // Kept while an entry is missing, because it may have lapsed.
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -1,5 +1,7 @@
 #include <filberthub/routing/server_pool.hpp>
 
+#include <filberthub/routing/server_groups.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -53,8 +55,9 @@
     if (!is_new && server.entry.service != entry.service)
         by_service_[server.entry.service].erase(entry.id);
     server.entry = entry;
+    server.id_hash = hash_of_server(entry.id);
     server.cold_rate = cold_rate;
-    by_service_[entry.service].insert(entry.id);
+    by_service_[entry.service][entry.id] = &server;
     apply_announcement(server);
     if (entry.cold_left.count() > 0)
         make_cold(entry.id, entry.cold_left, uniform_random, now);
@@ -136,8 +139,8 @@
     if (found == by_service_.end())
         return result;
     result.reserve(found->second.size());
-    for (const backend_server_id& id : found->second)
-        result.push_back(&servers_.at(id));
+    for (const auto& [id, server] : found->second)
+        result.push_back(server);
     return result;
 }
 
--- a/src/routing/slot_gate_servers.cpp
+++ b/src/routing/slot_gate_servers.cpp
@@ -89,12 +89,16 @@
             result.push_back(server);
         return result;
     }
+    const auto index = index_of_group(request.group);
+    if (!index)
+        return result;
+    // Called for each request, so that it must not build the names of groups.
     const server_list servers = pool_.of_service(request.service);
     const std::size_t groups = group_count(servers.size());
     std::copy_if(servers.begin(), servers.end(), std::back_inserter(result),
         [&](const observed_server* server) {
-            return pool_.usable(*server) && group_of_server(server->entry,
-                                                false, groups) == request.group;
+            return group_index(server->id_hash, groups) == *index &&
+                   pool_.usable(*server);
         });
     return result;
 }
