--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -386,6 +386,7 @@
         }
     }
     std::vector<std::string> texts;
+    texts.reserve(parts.size());
     for (const json& part : parts)
         texts.push_back(part.dump());
     return texts;
