Keep members and the preference for large instances over a new coordinator

Seven coordinators followed each other within 9 s, and keys were not renewed.

The largest processor share of any member is remembered. A new coordinator starts with the members that the one before had published, so that gates do not move either. First polls are gathered and answered with one text.

--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -267,6 +267,10 @@
     }
     members_ = std::move(members);
     ++members_version_;
+    for (const live_instance& member : members_) {
+        largest_processor_share_ =
+            std::max(largest_processor_share_, member.processor_share);
+    }
 }
 
 std::string deployment_view::encode_members(
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -120,6 +120,12 @@
     {
         return members_;
     }
+    // Returns the largest processor share that a member has had, or 0 if no
+    // members were known yet. A new coordinator knows only some at first.
+    double largest_processor_share() const
+    {
+        return largest_processor_share_;
+    }
     // Changes whenever the members change.
     std::uint64_t members_version() const
     {
@@ -188,6 +194,7 @@
     std::map<std::string, std::vector<served_range>> served_;
     std::vector<live_instance> members_;
     std::uint64_t members_version_ = 0;
+    double largest_processor_share_ = 0;
     unsigned open_batches_ = 0;
     bool change_pending_ = false;
     // Whether the first entries of servers were logged as a number.
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -72,7 +72,7 @@
 }
 
 void feed_server::on_poll(std::shared_ptr<http_exchange> exchange,
-    std::uint64_t run_id, feed_age age, time_point now)
+    std::uint64_t run_id, time_point now)
 {
     try {
         const json document =
@@ -91,14 +91,9 @@
                                 ? document.at("after").get<std::uint64_t>()
                                 : 0;
         poll.answer_by = now + timing().poll_wait();
-        // An instance that knows nothing yet cannot serve. The others get
-        // changes together, so that a series of changes does not become a
-        // series of replies to each.
-        if (poll.after_change == 0 && view_.objects().last_change() > 0) {
-            poll.exchange->respond(
-                text_response(200, encode_reply(0, run_id, age, now)));
-            return;
-        }
+        // Not answered at once: a series of changes would become a series of
+        // replies to each instance, and all instances poll a new coordinator
+        // for the whole view at the same time.
         polls_.push_back(std::move(poll));
     } catch (const std::exception& failure) {
         const std::string message = shorten(failure.what());
@@ -125,6 +120,15 @@
         .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+void feed_server::assume_members(const std::vector<live_instance>& members,
+    const instance_id& self, time_point now)
+{
+    for (const live_instance& member : members) {
+        if (member.id != self)
+            members_.try_emplace(member.id, polling_member{member, false, now});
+    }
+}
+
 bool feed_server::has_changes_to_send() const
 {
     return std::any_of(
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -59,10 +59,14 @@
         std::function<void(const instance_id&, const load_counts&)> on_report);
 
     // Records the report in a poll, and keeps the poll for `flush` and
-    // `answer_due`. The first poll of an instance is answered at once. `run_id`
-    // identifies this process. A malformed poll is answered with status 400.
+    // `answer_due`. `run_id` identifies this process. A malformed poll is
+    // answered with status 400.
     void on_poll(std::shared_ptr<http_exchange> exchange, std::uint64_t run_id,
-        feed_age age, time_point now);
+        time_point now);
+    // Regards these instances as members until the time-out after `now`, or
+    // until they poll. `self` is left out.
+    void assume_members(const std::vector<live_instance>& members,
+        const instance_id& self, time_point now);
     // Whether objects have changed for an instance that waits for an answer.
     bool has_changes_to_send() const;
     // Answers the polls for which objects have changed or whose waiting time is
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -35,11 +35,11 @@
 constexpr double takeover_jitter_ms = 400;
 // The work of the coordinator grows with the fleet, so that instances with a
 // larger share of a processor take over first. An instance delays its takeover
-// if a member has this multiple of its share, or, while it knows no members, if
-// its share is small.
+// if some member had this multiple of its share, or, while it knows no members,
+// if its share is small.
 constexpr double larger_share_factor = 2;
 constexpr double small_processor_share = 0.25;
-constexpr milliseconds small_processor_delay{300};
+constexpr milliseconds small_processor_delay{500};
 
 // The coordinator sends changes on at once. While all instances watch the store
 // themselves, each change would cost each instance a billed call, so they wait
@@ -54,17 +54,12 @@
         static_cast<std::int64_t>(uniform_random * takeover_jitter_ms));
 }
 
-// Whether another instance should rather coordinate.
-bool is_small(
-    const route_settings& settings, const std::vector<live_instance>& members)
+// Whether another instance should rather coordinate. `largest_share` is 0 while
+// no members are known.
+bool is_small(double share, double largest_share)
 {
-    if (members.empty())
-        return settings.processor_share < small_processor_share;
-    return std::any_of(
-        members.begin(), members.end(), [&](const live_instance& member) {
-            return member.processor_share >=
-                   settings.processor_share * larger_share_factor;
-        });
+    return largest_share > 0 ? largest_share >= share * larger_share_factor
+                             : share < small_processor_share;
 }
 
 lease_record make_self_record(
@@ -188,9 +183,10 @@
 {
     lease_.set_takeover(client_.timing().takeover());
     lease_.set_takeover_jitter(
-        takeover_jitter_ + (is_small(settings_, view_.members())
-                                   ? small_processor_delay
-                                   : milliseconds(0)));
+        takeover_jitter_ +
+        (is_small(settings_.processor_share, view_.largest_processor_share())
+                ? small_processor_delay
+                : milliseconds(0)));
     renew(now);
     if (lease_.is_holder() && !leaving_)
         coordinate(now);
@@ -218,6 +214,9 @@
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         controller_ = std::make_unique<ownership_controller>(settings_, view_,
             store_, term, lease_.earlier_leases_end(), clock_);
+        // Until all instances poll this one, the members of the coordinator
+        // before remain, so that gates do not move for nothing.
+        server_.assume_members(view_.members(), settings_.instance, now);
         stop_predecessor();
     }
     if (now >= next_report_) {
@@ -304,7 +303,7 @@
         exchange->respond(std::move(response));
         return;
     }
-    server_.on_poll(std::move(exchange), self_.run_id, view_age(now), now);
+    server_.on_poll(std::move(exchange), self_.run_id, now);
     flush_soon();
 }
 
