Apply the reply of a coordinator as a whole or not at all

Found by reading the diff: a malformed row ended the application of a reply in the middle, after the view had begun to gather changes, so that the view reported no changes any more: requests that wait would not have been tried again.

Rows are decoded before any is applied. FeedClient.ActsOnChangesAfterAMalformedReply failed before (no change reported, a row of the malformed reply applied).

--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -51,6 +51,31 @@
     return counts;
 }
 
+// A changed object, and an upper bound of the age of the change.
+struct received_change
+{
+    versioned_object object;
+    milliseconds age{0};
+};
+
+std::vector<received_change> decode_changes(const json& rows)
+{
+    std::vector<received_change> changes;
+    changes.reserve(rows.size());
+    for (const json& row : rows) {
+        received_change change;
+        change.object.key = row.at(0).get<std::string>();
+        change.object.version = object_version(row.at(1).get<std::uint64_t>());
+        if (!row.at(2).is_null())
+            change.object.value = row.at(2).get<std::string>();
+        // A coordinator of an earlier release does not send the age.
+        if (row.size() > 3)
+            change.age = read_milliseconds(row.at(3));
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
 http_response text_response(int status, const std::string& body)
 {
     http_response response;
@@ -289,22 +314,16 @@
     const json document = parse_json(body, error_kind::bad_peer_message);
     const auto run_id = document.at("run").get<std::uint64_t>();
     const bool was_fresh = fresh(now);
+    // Read as a whole first, so that a malformed reply changes nothing.
+    const std::vector<received_change> changes =
+        decode_changes(document.at("facts"));
     view_.update_together([&] {
-        for (const json& row : document.at("facts")) {
-            // A coordinator of an earlier release does not send the age.
-            const milliseconds change_age(row.size() > 3
-                                              ? read_milliseconds(row.at(3))
-                                              : milliseconds(0));
-            const time_point changed_since = now - change_age;
+        for (const received_change& change : changes) {
+            const time_point changed_since = now - change.age;
             view_.set_changes_missed_since(
                 was_fresh ? changed_since
                           : std::min(changed_since, complete_until_));
-            versioned_object object;
-            object.key = row.at(0).get<std::string>();
-            object.version = object_version(row.at(1).get<std::uint64_t>());
-            if (!row.at(2).is_null())
-                object.value = row.at(2).get<std::string>();
-            view_.update(object, now);
+            view_.update(change.object, now);
         }
     });
     view_.set_changes_missed_since(std::nullopt);
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -98,6 +98,46 @@
     ASSERT_TRUE(run_until([&] { return client_.fresh(now_); }));
 }
 
+// Guards against a follower that no longer acts on changes after a malformed
+// reply.
+TEST(FeedClient, ActsOnChangesAfterAMalformedReply)
+{
+    const std::string rest =
+        R"(,"run":7,"change":1,"fleet":2,"hold_ms":400,"store_age_ms":0,
+            "view_age_ms":0})";
+    std::vector<std::string> replies = {
+        R"({"facts":[["server/i-1",1,null,0],["server/i-2",1,7,0]])" + rest,
+        R"({"facts":[["server/i-1",2,"null",0]])" + rest};
+    std::vector<std::shared_ptr<http_exchange>> waiting;
+    std::size_t polls = 0;
+    http_listener listener({}, [&](std::shared_ptr<http_exchange> exchange) {
+        if (polls >= replies.size()) {
+            waiting.push_back(std::move(exchange));
+            return;
+        }
+        http_response response;
+        response.body = replies[polls++];
+        exchange->respond(std::move(response));
+    });
+    listener.listen({"127.0.0.1", 0});
+    deployment_view view((route_settings()));
+    int changes = 0;
+    view.on_change([&] { ++changes; });
+    const time_point now{std::chrono::hours(1)};
+    feed_client client(
+        {instance_id("follower"), {"127.0.0.1", 1}, 1}, view,
+        [] { return load_counts{}; }, [now] { return now; });
+    lease_record lease;
+    lease.holder = instance_id("coordinator");
+    lease.address = listener.address();
+    lease.run_id = 7;
+    client.follow(lease);
+    ASSERT_TRUE(run_until([&] { return !waiting.empty(); }));
+    EXPECT_EQ(polls, 2U);
+    EXPECT_EQ(changes, 1);
+    EXPECT_EQ(view.objects().last_change(), 1U);
+}
+
 // Guards against a datagram that exhausts the stack, and against times whose
 // sums overflow.
 TEST(peer_messages_test, RefusesNestedDatagrams)
