--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import json
 import os
 import pathlib
 import shutil
@@ -100,12 +101,17 @@
 class Deployment(deployment.Run):
     """A small deployment on a loopback network of its own."""
 
-    def __init__(self, folder, routers, network_prefix):
+    def __init__(self, folder, routers, network_prefix, case):
         deployment.BINARY = PROGRAM
+        self.max_body_bytes = case.max_body_bytes
         super().__init__("review", folder, routers=0)
         self.store = Store("review")
         self.network_prefix = network_prefix
         self.routers = [deployment.Router(self, n) for n in range(routers)]
+        for router in self.routers:
+            settings = json.loads(router.settings.read_text())
+            settings["memory_megabytes"] = case.memory_megabytes
+            router.settings.write_text(json.dumps(settings))
 
     def configure(self):
         """Writes the next version: a route for each kind of request."""
@@ -124,8 +130,9 @@
                 "WarmupS": 3.0, "WarmupPerS": 11.0, "Sharded": keyed,
                 "WarmS": 3 if keyed else 0}
                 for name, (_, keyed, _) in deployment.SERVICES.items()],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4_000_000,
-                       "HeaderTimeoutMs": 4000, "IdleTimeoutMs": 15000}})
+            "Limits": {"MaxHeaderBytes": 16384,
+                       "MaxBodyBytes": self.max_body_bytes,
+                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
         self.journal.record("configured", version=self.version)
 
     def coordinator(self):
@@ -147,6 +154,9 @@
     services = {"kartlas": (6, True, 0.03), "kartskriv": (4, False, 0.04),
                 "skanintag": (3, False, 0.04), "raddning": (3, False, 0.012)}
 
+    # Limits of a body and of the memory of a process.
+    max_body_bytes = 4_000_000
+    memory_megabytes = 182
     # The kinds of requests that callers send.
     kinds = callers.REQUEST_KINDS
 
@@ -169,7 +179,7 @@
         return []
 
     def make_deployment(self, folder, network_prefix):
-        return Deployment(folder, self.routers, network_prefix)
+        return Deployment(folder, self.routers, network_prefix, self)
 
     async def _run(self, run):
         try:
