--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -123,8 +123,8 @@
                 "PathPrefix": f"/{kind.name}/", "Service": kind.service,
                 "RouteType": "safe" if kind.repeatable else "unsafe",
                 "MaxAttempts": 3 if kind.repeatable else 2,
-                "TimeoutMs": 2000, "TargetLatencyMs": kind.deadline_ms // 2,
-                "Priority": 1} for kind in callers.REQUEST_KINDS],
+                "TimeoutMs": 2000,
+                "TargetLatencyMs": kind.deadline_ms // 2, "Priority": 1} for kind in callers.REQUEST_KINDS],
             "Services": [{
                 "Name": name, "HealthPath": "/healthz", "MaxConnections": 200,
                 "WarmupS": 3.0, "WarmupPerS": 11.0, "Sharded": keyed,
