Keep the grants of a restarted server for its new incarnation

Cause: commands name a server by its id only. The coordinator counted grants that the new process had taken for the earlier one, and forgot them all when the entry with the new start time arrived. The next owners were not held back.

Change: the later incarnation takes over the grants of the earlier one, in the ranges and among the previous owners, and its ranges get new tokens. Keys that move to other servers are released by it first.

Ruled out: clearing only the grants from before the lost connection. Which process answered a grant is not known, as answers name the id only.

--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -83,8 +83,9 @@
     }
 
 private:
-    // Returns the table without the previous owners of finished moves and with
-    // new tokens for ranges whose token was refused. Sets `changed` if it
+    // Returns the table without the previous owners of finished moves, with new
+    // tokens for ranges whose token was refused, and with the present
+    // incarnations of servers that have restarted. Sets `changed` if it
     // differs from the committed table.
     key_table refreshed_table(bool& changed) const;
 
--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -13,7 +13,6 @@
 #include <filberthub/routing/key_table.hpp>
 
 #include <map>
-#include <set>
 
 namespace filberthub {
 
@@ -84,10 +83,18 @@
     void shorten_earlier_grants(time_point earlier_grants_end);
     // Replaces the table by the next committed one.
     void adopt(const key_table& table, time_point now);
-    // To be called when an incarnation of a server is known to have ended. It
-    // no longer holds any keys.
+    // To be called when a server is known to have ended and none of its
+    // commands can have reached another incarnation. It no longer holds any
+    // keys.
     void on_incarnation_ended(const server_incarnation& server);
 
+    // To be called when a later incarnation of a server is known. Commands name
+    // a server by its id only, so those sent to `earlier` may have been carried
+    // out by `present`, which counts as the holder of their keys from now on.
+    // Its ranges need new tokens.
+    void on_server_restarted(
+        const server_incarnation& earlier, const server_incarnation& present);
+
     // To be called when the server ended or reset a connection, which may mean
     // that it has restarted under its id. Its keys need new tokens, as a new
     // incarnation must not get them with the token of an earlier one. Returns
@@ -110,8 +117,9 @@
     // Whether the owner of the range with this token has accepted it.
     bool is_granted(fencing_token token) const;
     // Tokens that a server refused as outdated, or that it may have had in an
-    // earlier incarnation. Their ranges need new tokens.
-    std::set<fencing_token> outdated() const;
+    // earlier incarnation. Their ranges need new tokens. The value is the
+    // owner, whose incarnation may be later than that in the table.
+    std::map<fencing_token, server_incarnation> outdated() const;
     // Number of unanswered commands to this server since its last answer.
     unsigned unanswered(const server_incarnation& server) const;
 
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -94,7 +94,7 @@
     }
     start_services(now);
     for (auto& [id, service] : services_) {
-        end_stale_incarnations(service);
+        replace_stale_incarnations(service);
         if (now >= service.next_plan) {
             service.next_plan = now + plan_interval;
             plan(id, service, now);
@@ -106,23 +106,26 @@
     }
 }
 
-// Ends the grants of servers that have restarted under the same id: the new
-// incarnation holds no keys of the earlier one.
-void ownership_controller::end_stale_incarnations(service_ownership& service)
+// Replaces servers that have restarted under the same id by their present
+// incarnations.
+void ownership_controller::replace_stale_incarnations(
+    service_ownership& service)
 {
-    std::vector<server_incarnation> ended;
-    const auto add_if_ended = [&](const server_incarnation& server) {
+    std::set<server_incarnation> stale;
+    const auto add_if_stale = [&](const server_incarnation& server) {
         const auto present = view_.incarnation_of(server.id);
         if (present && *present != server.started)
-            ended.push_back(server);
+            stale.insert(server);
     };
     for (const key_range& range : service.keys.table().ranges) {
-        add_if_ended(range.owner);
+        add_if_stale(range.owner);
         for (const previous_owner& previous : range.previous)
-            add_if_ended(previous.server);
+            add_if_stale(previous.server);
+    }
+    for (const server_incarnation& server : stale) {
+        service.keys.granter().on_server_restarted(
+            server, {server.id, *view_.incarnation_of(server.id)});
     }
-    for (const server_incarnation& server : ended)
-        service.keys.granter().on_incarnation_ended(server);
 }
 
 std::vector<key_server> ownership_controller::key_servers(
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -70,7 +70,7 @@
         const service_id& id, service_ownership& service, time_point now);
     void publish_part(const service_id& id, std::size_t part,
         const std::string& text, time_point now);
-    void end_stale_incarnations(service_ownership& service);
+    void replace_stale_incarnations(service_ownership& service);
     void on_connection_lost(const backend_server_id& id);
     http_client& client_of(const backend_server_id& id);
 
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -54,13 +54,15 @@
 key_table key_coordinator::refreshed_table(bool& changed) const
 {
     key_table next = table_;
-    const std::set<fencing_token> outdated = granter_.outdated();
+    const auto outdated = granter_.outdated();
     for (key_range& range : next.ranges) {
         if (!range.previous.empty() && granter_.is_granted(range.token)) {
             range.previous.clear();
             changed = true;
         }
-        if (outdated.contains(range.token)) {
+        const auto found = outdated.find(range.token);
+        if (found != outdated.end()) {
+            range.owner = found->second;
             range.token = next.next_token;
             next.next_token = next.next_token.next();
             changed = true;
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -158,6 +158,27 @@
     unanswered_.erase(server);
 }
 
+void key_granter::on_server_restarted(
+    const server_incarnation& earlier, const server_incarnation& present)
+{
+    for (auto& [token, state] : states_) {
+        for (earlier_holder& holder : state.earlier_holders) {
+            if (holder.server == earlier)
+                holder.server = present;
+        }
+        if (state.range.owner != earlier)
+            continue;
+        state.range.owner = present;
+        // The restart ended the connection, so what was accepted before that
+        // was accepted by the earlier incarnation.
+        state.accepted = state.accepted && !state.outdated;
+        state.held_before = false;
+        state.outdated = true;
+        ++granted_version_;
+    }
+    unanswered_.erase(earlier);
+}
+
 bool key_granter::on_connection_lost(const backend_server_id& server)
 {
     bool owns_keys = false;
@@ -238,6 +259,8 @@
         // arrived before its answer, so the grant ends by then at the latest.
         state.granted_until = std::max(now + options_.max_grant_duration(),
             state.current_token_unclear_until);
+        if (command.server != state.range.owner)
+            return;
         if (!state.accepted)
             ++granted_version_;
         state.accepted = true;
@@ -326,12 +349,12 @@
     return found != states_.end() && found->second.accepted;
 }
 
-std::set<fencing_token> key_granter::outdated() const
+std::map<fencing_token, server_incarnation> key_granter::outdated() const
 {
-    std::set<fencing_token> result;
+    std::map<fencing_token, server_incarnation> result;
     for (const auto& [token, state] : states_) {
         if (state.outdated)
-            result.insert(token);
+            result.emplace(token, state.range.owner);
     }
     return result;
 }
--- a/test/router/ownership_controller_test.cpp
+++ b/test/router/ownership_controller_test.cpp
@@ -5,6 +5,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <memory>
+
 namespace filberthub {
 namespace {
 
@@ -39,12 +42,19 @@
     }
 
     void put_server(const std::string& id, std::uint64_t version)
+    {
+        put_server(id, version, listener_.address(), 1);
+    }
+
+    // `started` tells the incarnations of a server apart.
+    void put_server(const std::string& id, std::uint64_t version,
+        const endpoint& address, std::uint64_t started)
     {
         view_.update(
             {"server/" + id, object_version(version),
                 json{{"Service", "maps"}, {"Zone", "a"},
-                    {"Address", to_string(listener_.address())},
-                    {"Capacity", 2}, {"State", "ready"}, {"WarmupLeftMs", 0}}
+                    {"Address", to_string(address)}, {"Capacity", 2},
+                    {"State", "ready"}, {"WarmupLeftMs", 0}, {"born", started}}
                     .dump()},
             now());
     }
@@ -94,5 +104,93 @@
     EXPECT_TRUE(run_until_owned(second, "i-7"));
 }
 
+// A server that holds the keys that it was granted until it has to release them
+// or restarts. The test must not take longer than a grant.
+class key_holding_server
+{
+public:
+    key_holding_server()
+    {
+        start({"127.0.0.1", 0});
+    }
+
+    // Ends all connections and loses all keys.
+    void restart()
+    {
+        const endpoint address = listener_->address();
+        listener_.reset();
+        held_.assign(key_count, false);
+        start(address);
+    }
+
+    endpoint address() const
+    {
+        return listener_->address();
+    }
+
+    bool holds(key_number key) const
+    {
+        return held_[key];
+    }
+
+    std::ptrdiff_t held_count() const
+    {
+        return std::count(held_.begin(), held_.end(), true);
+    }
+
+private:
+    void start(const endpoint& address)
+    {
+        listener_ = std::make_unique<http_listener>(http_listener_options{},
+            [this](const std::shared_ptr<http_exchange>& exchange) {
+                execute(exchange->request());
+                exchange->respond(http_response{});
+            });
+        listener_->listen(address);
+    }
+
+    void execute(const http_request& command)
+    {
+        const json content = json::parse(command.body);
+        const auto last = content.at("To").get<key_number>();
+        for (auto key = content.at("From").get<key_number>(); key <= last;
+             ++key)
+            held_[key] = command.target == "/-/grant";
+    }
+
+    std::unique_ptr<http_listener> listener_;
+    std::vector<bool> held_ = std::vector<bool>(key_count, false);
+};
+
+// Guards against two owners after a server has restarted under its id: the
+// grants that were sent before its entry changed may have reached the new
+// incarnation.
+TEST_F(ownership_controller_test, ReleasesTheKeysOfARestartedServer)
+{
+    key_holding_server restarted;
+    key_holding_server other;
+    put_server("i-1", 1, restarted.address(), 1);
+    ownership_controller controller = make_controller();
+    const auto run_until_held = [&](const key_holding_server& server,
+                                    std::ptrdiff_t count) {
+        return run_until([&] {
+            controller.advance(now());
+            for (key_number key = 0; key < key_count; ++key) {
+                if (restarted.holds(key) && other.holds(key)) {
+                    ADD_FAILURE() << "two servers hold key " << key;
+                    return true;
+                }
+            }
+            return server.held_count() >= count;
+        });
+    };
+    ASSERT_TRUE(run_until_held(restarted, key_count));
+    restarted.restart();
+    ASSERT_TRUE(run_until_held(restarted, key_count));
+    put_server("i-1", 2, restarted.address(), 2);
+    put_server("i-2", 3, other.address(), 1);
+    EXPECT_TRUE(run_until_held(other, key_count / 4));
+}
+
 } // namespace
 } // namespace filberthub
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -22,9 +22,9 @@
 }
 
 // A table in which all keys move from a to b.
-key_table moved_table()
+key_table moved_table(std::uint64_t token = 2)
 {
-    key_range range = range_of(0, key_count - 1, "b", 2);
+    key_range range = range_of(0, key_count - 1, "b", token);
     range.previous.push_back({{backend_server_id("a"), 1}, fencing_token(1)});
     return table_of({range});
 }
@@ -201,6 +201,61 @@
     EXPECT_FALSE(only_command(10).release);
 }
 
+// Guards against two owners: the grants sent between the restart of a server
+// and the change of its entry may have reached the new incarnation.
+TEST_F(KeyGranter, ReleasesTheKeysOfARestartedServer)
+{
+    grant_first();
+    granter_.on_connection_lost(backend_server_id("a"));
+    granter_.adopt(table_of({range_of(0, key_count - 1, "a", 2)}), at_ms(800));
+    const grant_command grant = only_command(800);
+    granter_.on_reply(grant.number, grant_reply::accepted, "", at_ms(802));
+    granter_.on_server_restarted(
+        {backend_server_id("a"), 1}, {backend_server_id("a"), 2});
+
+    granter_.adopt(moved_table(3), at_ms(810));
+    const grant_command release = only_command(810);
+    EXPECT_TRUE(release.release);
+    EXPECT_EQ(release.server.id.value(), "a");
+    EXPECT_THAT(granter_.due(at_ms(820)), IsEmpty());
+    granter_.on_reply(release.number, grant_reply::accepted, "", at_ms(830));
+    EXPECT_FALSE(only_command(830).release);
+}
+
+// Guards against the same while keys move: the server restarts after its keys
+// were planned to move.
+TEST_F(KeyGranter, ReleasesTheKeysOfAPreviousOwnerThatRestarted)
+{
+    grant_first();
+    granter_.adopt(moved_table(), at_ms(10));
+    granter_.on_server_restarted(
+        {backend_server_id("a"), 1}, {backend_server_id("a"), 2});
+    const grant_command release = only_command(10);
+    EXPECT_TRUE(release.release);
+    granter_.on_reply(release.number, grant_reply::unclear, "", at_ms(100));
+    for (std::int64_t ms = 100; ms < 3'200; ms += 300) {
+        for (const grant_command& command : granter_.due(at_ms(ms)))
+            EXPECT_TRUE(command.release) << "at " << ms << " ms";
+    }
+}
+
+// Guards against keys that become unavailable: a restarted server gets its keys
+// again without a wait for the end of its earlier grants.
+TEST_F(KeyGranter, GrantsKeysToTheNewIncarnationAtOnce)
+{
+    grant_first();
+    granter_.on_server_restarted(
+        {backend_server_id("a"), 1}, {backend_server_id("a"), 2});
+    const auto outdated = granter_.outdated();
+    ASSERT_THAT(outdated, SizeIs(1));
+    EXPECT_EQ(outdated.begin()->second.started, 2U);
+
+    key_range range = range_of(0, key_count - 1, "a", 2);
+    range.owner.started = 2;
+    granter_.adopt(table_of({range}), at_ms(10));
+    EXPECT_EQ(only_command(10).token, fencing_token(2));
+}
+
 // Guards against two owners: a new coordinator does not know the grants of its
 // predecessor.
 TEST(KeyCoordinatorTakeover, WaitsForTheGrantsOfThePredecessor)
@@ -288,8 +343,8 @@
     }
 };
 
-// Guards against two owners of a key for random moves, lost answers and delayed
-// commands.
+// Guards against two owners of a key for random moves, lost answers, delayed
+// commands and servers that restart under their ids.
 RC_GTEST_PROP(KeyGranterProperty, NeverLetsTwoServersHoldAKey, ())
 {
     key_granter granter{key_granter_options{}};
@@ -310,6 +365,16 @@
         table.ranges.push_back(range);
     }
     granter.adopt(table, at_ms(0));
+    // The incarnations that the granter knows, and those that run.
+    std::map<backend_server_id, std::uint64_t> known;
+    std::map<backend_server_id, std::uint64_t> running;
+    for (const char* id : {"s0", "s1", "s2"}) {
+        known[backend_server_id(id)] = 1;
+        running[backend_server_id(id)] = 1;
+    }
+    const auto any_server = [] {
+        return backend_server_id("s" + std::to_string(*rc::gen::inRange(0, 3)));
+    };
     const int steps = *rc::gen::inRange(20, 120);
     std::int64_t now_ms = 0;
     for (int step = 0; step < steps; ++step) {
@@ -325,13 +390,42 @@
                     item.command, item.arrival, now);
             return true;
         });
+        if (*rc::gen::inRange(0, 10) == 0) {
+            // A restart, of which the granter may not notice the lost
+            // connection.
+            const backend_server_id id = any_server();
+            ++running[id];
+            servers.erase(id);
+            std::erase_if(late, [&](const late_command& item) {
+                return item.command.server.id == id;
+            });
+            if (*rc::gen::inRange(0, 3) != 0)
+                granter.on_connection_lost(id);
+        }
+        if (*rc::gen::inRange(0, 6) == 0) {
+            const backend_server_id id = any_server();
+            if (known[id] != running[id]) {
+                granter.on_server_restarted({id, known[id]}, {id, running[id]});
+                known[id] = running[id];
+            }
+        }
+        const auto outdated = granter.outdated();
+        for (key_range& range : table.ranges) {
+            const auto found = outdated.find(range.token);
+            if (found == outdated.end())
+                continue;
+            range.owner = found->second;
+            range.token = fencing_token(token++);
+        }
+        if (!outdated.empty())
+            granter.adopt(table, now);
         if (*rc::gen::inRange(0, 4) == 0) {
             const auto part = static_cast<std::size_t>(*rc::gen::inRange(0, 8));
             key_range& range = table.ranges[part];
             if (range.previous.empty() || granter.is_granted(range.token)) {
                 range.previous = {{range.owner, range.token}};
-                range.owner.id = backend_server_id(
-                    "s" + std::to_string(*rc::gen::inRange(0, 3)));
+                const backend_server_id id = any_server();
+                range.owner = {id, known[id]};
                 range.token = fencing_token(token++);
                 if (range.owner == range.previous[0].server)
                     range.previous.clear();
