Close a connection that fails at once after its construction

Cause: `connectToHost` may fail inside the constructor of `client_connection`. The connection then closed and deleted itself before `http_client` had added it to its list, which kept the pointer. Callbacks of failed calls ran inside `send`.

Change: such a connection closes itself in the next turn of the event loop.

--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -70,7 +70,11 @@
             [this](QAbstractSocket::SocketError code) {
                 if (code == QAbstractSocket::RemoteHostClosedError)
                     complete_at_close();
-                close(socket_->errorString().toStdString(), true);
+                const std::string reason = socket_->errorString().toStdString();
+                if (constructed_)
+                    close(reason, true);
+                else
+                    close_later(reason);
             });
         connect(socket_, &QTcpSocket::disconnected, this,
             [this] { close("the server closed the connection", true); });
@@ -174,6 +178,13 @@
         client_.dispatch();
     }
 
+    // Closes a connection that has failed in its constructor, when the client
+    // does not know it yet and `http_client::send` may be on the stack.
+    void close_later(const std::string& reason)
+    {
+        QTimer::singleShot(0, this, [this, reason] { close(reason, true); });
+    }
+
     // Detaches the call, so that `close` does not report it as failed.
     void release()
     {
@@ -340,6 +351,7 @@
     // Kept here because the connection may outlive its client.
     std::shared_ptr<answer_budget> budget_;
     std::string expected_echo_;
+    bool constructed_ = false;
     bool head_request_ = false;
     call_number number_;
     std::uint64_t requests_ = 0;
