Report a peer connection that fails at once after its message

What callers could see: a request that was reported as not run could run later.

`connectToHost` may fail inside `peer_link::send`; the link reported the loss and then queued the message for the next connection. Found by reading the other callers of `connectToHost`.

Change: the failure is reported in the next turn of the event loop.

Evidence: PeerLink.ReportsAConnectionThatFailsAtOnceAfterItsMessage failed before (the loss was reported inside `send`).

--- a/src/net/peer_link.cpp
+++ b/src/net/peer_link.cpp
@@ -161,8 +161,14 @@
     next_attempt_ = std::chrono::steady_clock::now() + reconnect_interval;
     socket_ = new QTcpSocket;
     connect(socket_, &QTcpSocket::connected, this, [this] { on_connected(); });
+    // Later, because `connectToHost` may fail at once, inside `send`.
     connect(socket_, &QTcpSocket::errorOccurred, this,
-        [this](QAbstractSocket::SocketError) { on_failed(); });
+        [this, socket = socket_](QAbstractSocket::SocketError) {
+            QTimer::singleShot(0, this, [this, socket] {
+                if (socket_ == socket)
+                    on_failed();
+            });
+        });
     connect_timer_.start(connect_timeout);
     socket_->connectToHost(
         QHostAddress(QString::fromStdString(address_.address)), address_.port);
--- a/test/net/peer_link_test.cpp
+++ b/test/net/peer_link_test.cpp
@@ -31,6 +31,22 @@
     EXPECT_FALSE(link.send(cancel_message{forward_number(2)}));
 }
 
+// Guards against a message that is sent after it was reported as lost: the
+// connect call to a broadcast address fails inside `send`.
+TEST(PeerLink, ReportsAConnectionThatFailsAtOnceAfterItsMessage)
+{
+    bool sending = true;
+    std::optional<bool> established;
+    peer_link link({"127.255.255.255", 9}, {}, ignore_message, [&](bool value) {
+        EXPECT_FALSE(sending);
+        established = value;
+    });
+    EXPECT_TRUE(link.send(cancel_message{forward_number(1)}));
+    sending = false;
+    ASSERT_TRUE(run_until([&] { return established.has_value(); }));
+    EXPECT_FALSE(*established);
+}
+
 // Messages on a lost connection may have been received, and so their requests
 // must not be reported as "not run".
 TEST(PeerLink, ReportsTheLossOfAnEstablishedConnection)
