Take late requests in a stop only if they end before the process

What callers could see (reported by operators of similar systems): in a planned stop, requests that came late in the grace period were passed on and cut off at its end, among them requests that may not be repeated.

Cause: requests were taken until 1.6 s before the end of the grace period, whatever their time limit.

Change: from 2.6 s on, when the platform sends no new callers, a request is taken only if its time limit is reached before the process ends. Others get 503 with Retry-After at once. The times of a stop are in one class, without I/O.

Evidence: stopping_router_test.RefusesALateRequestThatMayOutlastTheProcess failed on: the request reached the server.

--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -115,6 +115,11 @@
         decode_caller_timeout(original.headers)
             .value_or(default_caller_timeout),
         request->route->answer_timeout);
+    if (shutdown_ && !shutdown_->takes_request(
+                         request->arrived, request->state.answer_deadline)) {
+        fail(request, {503, retry_delay}, "this instance is stopping");
+        return;
+    }
     budget_of(request->service)
         .on_request(request->arrived, view_.fleet_size());
     if (request->key)
@@ -221,6 +226,11 @@
     return request.client != nullptr && request.client->is_sent(request.call);
 }
 
+void caller_service::begin_shutdown(const shutdown_plan& plan)
+{
+    shutdown_ = plan;
+}
+
 void caller_service::refuse_unsent()
 {
     stopping_ = true;
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -13,10 +13,12 @@
 
 #include <filberthub/net/http_listener.hpp>
 #include <filberthub/routing/request_rules.hpp>
+#include <filberthub/routing/shutdown_plan.hpp>
 #include <filberthub/routing/window_budget.hpp>
 #include <filberthub/telemetry/metric_registry.hpp>
 
 #include <list>
+#include <optional>
 
 namespace filberthub {
 
@@ -43,6 +45,8 @@
     // second.
     void sweep();
 
+    // To be called when this process was told to stop.
+    void begin_shutdown(const shutdown_plan& plan);
     // To be called when this process has too little time left to begin work.
     // Refuses the requests that were not sent, and all further ones.
     void refuse_unsent();
@@ -114,6 +118,8 @@
     std::map<service_id, window_budget> budgets_;
     load_counts counts_;
     QTimer retry_timer_;
+    // Set once the process was told to stop.
+    std::optional<shutdown_plan> shutdown_;
     // Whether all further requests are refused.
     bool stopping_ = false;
     counter& done_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -17,18 +17,6 @@
 constexpr milliseconds sweep_interval{1'000};
 // Window over which the quantiles of histograms are computed.
 constexpr milliseconds metric_window{30'000};
-// The platform checks readiness once a second and sends no new callers after
-// two answers that are not 200.
-constexpr milliseconds rotation_removal_time{2'600};
-// Idle connections are closed during this time, and callers that still send
-// requests get "Connection: close".
-constexpr milliseconds min_leave_time{3'400};
-// Time between the exit of the process and the end of the grace period, at
-// which the platform would kill it.
-constexpr milliseconds kill_margin{600};
-// Requests that are not yet sent this long before the end are refused, because
-// they could be cut off. Most requests take less time.
-constexpr milliseconds unsent_refusal_margin{1'000};
 
 http_listener_options caller_options()
 {
@@ -65,7 +53,7 @@
           readiness_listener({},
               [this](const std::shared_ptr<http_exchange>& exchange) {
                   exchange->respond(
-                      status_only(view.ready() && !leaving ? 200 : 503));
+                      status_only(view.ready() && !shutdown ? 200 : 503));
               }),
           peer_listener({},
               [this](std::shared_ptr<http_exchange> exchange) {
@@ -110,7 +98,7 @@
             next_rotate = now + metric_window;
             metrics.rotate();
         }
-        if (leaving)
+        if (shutdown)
             check_leaving(now);
     }
 
@@ -128,15 +116,13 @@
 
     void check_leaving(time_point now)
     {
-        if (now >= leave_started + rotation_removal_time && !draining) {
+        if (now >= shutdown->rotation_removal() && !draining) {
             draining = true;
             caller_listener.begin_drain();
         }
         const bool idle =
             callers.in_flight() == 0 && caller_listener.connection_count() == 0;
-        const time_point end =
-            leave_started + settings.bounds.stop_grace - kill_margin;
-        const bool time_over = now >= end;
+        const bool time_over = now >= shutdown->end();
         if (time_over && callers.in_flight() > 0) {
             log_event(log_level::warn,
                 "requests still open at the end of the shutdown",
@@ -145,9 +131,9 @@
             callers.answer_all();
             return;
         }
-        if (now >= end - unsent_refusal_margin)
+        if (shutdown->refuses_unsent(now))
             callers.refuse_unsent();
-        if ((idle && now >= leave_started + min_leave_time) || time_over) {
+        if ((idle && now >= shutdown->earliest_end()) || time_over) {
             log_event(log_level::info, "stopped", {{"time_over", time_over}});
             ticker.stop();
             on_finished();
@@ -169,9 +155,9 @@
     std::optional<time_point> last_tick;
     time_point next_sweep;
     time_point next_rotate = boot_time_now() + metric_window;
-    bool leaving = false;
+    // Set once the process was told to stop.
+    std::optional<shutdown_plan> shutdown;
     bool draining = false;
-    time_point leave_started;
     std::function<void()> on_finished;
 };
 
@@ -211,12 +197,12 @@
 void router::leave(std::function<void()> on_finished)
 {
     impl& state = *impl_;
-    if (state.leaving)
+    if (state.shutdown)
         return;
     log_event(
         log_level::info, "leaving", {{"in_flight", state.callers.in_flight()}});
-    state.leaving = true;
-    state.leave_started = boot_time_now();
+    state.shutdown.emplace(boot_time_now(), state.settings.bounds.stop_grace);
+    state.callers.begin_shutdown(*state.shutdown);
     state.on_finished = std::move(on_finished);
     state.caller_listener.announce_close();
     state.role.leave();
--- a/test/router/router_test.cpp
+++ b/test/router/router_test.cpp
@@ -30,9 +30,9 @@
 class router_test : public testing::Test
 {
 protected:
-    router_test()
+    explicit router_test(milliseconds stop_grace = milliseconds(3'000))
         : client_({unique_address(), 8'080}, {.max_connections = 8}),
-          router_(settings())
+          router_(settings(stop_grace))
     {
         store_.put("config", "main",
             {{"Version", "0000000c"},
@@ -46,7 +46,7 @@
         router_.start();
     }
 
-    route_settings settings() const
+    route_settings settings(milliseconds stop_grace) const
     {
         route_settings result;
         result.instance = instance_id("router-1");
@@ -56,7 +56,7 @@
         result.peers = {unique_address(), 8'082};
         result.operators = {unique_address(), 8'083};
         result.store = store_.address();
-        result.bounds.stop_grace = milliseconds(3'000);
+        result.bounds.stop_grace = stop_grace;
         return result;
     }
 
@@ -173,6 +173,41 @@
     EXPECT_EQ(count_answers_with(504), 1U);
 }
 
+class stopping_router_test : public router_test
+{
+protected:
+    stopping_router_test() : router_test(milliseconds(6'000)) {}
+
+    static bool run_for(milliseconds time)
+    {
+        const time_point end = std::chrono::steady_clock::now() + time;
+        return run_until(
+            [end] { return std::chrono::steady_clock::now() >= end; });
+    }
+};
+
+// Guards against a request that comes late in the grace period, is passed on
+// and is cut off at the end: its caller cannot know whether it has run.
+TEST_F(stopping_router_test, RefusesALateRequestThatMayOutlastTheProcess)
+{
+    ASSERT_TRUE(wait_until_ready());
+    router_.leave([] {});
+    ASSERT_TRUE(run_for(milliseconds(2'200)));
+    QTcpSocket caller;
+    caller.connectToHost(
+        QHostAddress(QString::fromStdString(unique_address())), 8'080);
+    ASSERT_TRUE(run_for(milliseconds(700)));
+    caller.write("POST /edit/late HTTP/1.1\r\nHost: maps.example\r\n"
+                 "X-Filberthub-Request-Id: late\r\n"
+                 "X-Filberthub-Deadline-Ms: 20000\r\n"
+                 "Content-Length: 0\r\n\r\n");
+    ASSERT_TRUE(run_until([&] {
+        return caller.bytesAvailable() > 0 || !server_.requests.empty();
+    }));
+    EXPECT_EQ(server_.requests.size(), 0U);
+    EXPECT_TRUE(caller.readAll().startsWith("HTTP/1.1 503"));
+}
+
 // Guards against a request that reaches a server that has announced that it is
 // leaving, because it waited for a connection meanwhile.
 TEST_F(router_test, DoesNotSendAWaitingRequestToALeavingServer)
--- a/test/routing/routing_test.cpp
+++ b/test/routing/routing_test.cpp
@@ -6,6 +6,7 @@
 #include <filberthub/routing/object_cache.hpp>
 #include <filberthub/routing/request_rules.hpp>
 #include <filberthub/routing/route_table.hpp>
+#include <filberthub/routing/shutdown_plan.hpp>
 #include <filberthub/routing/window_budget.hpp>
 
 namespace filberthub {
@@ -305,6 +306,19 @@
     EXPECT_FALSE(failure_of(state, true, milliseconds(50)).retry_after);
 }
 
+// Guards against requests that come late in the grace period and are cut off at
+// its end while their server works on them.
+TEST(ShutdownPlan, TakesLateRequestsOnlyIfTheyEndInTime)
+{
+    const shutdown_plan plan(at_ms(0), milliseconds(6'000));
+    EXPECT_TRUE(plan.takes_request(at_ms(2'500), at_ms(9'000)));
+    EXPECT_FALSE(plan.takes_request(at_ms(3'000), at_ms(9'000)));
+    EXPECT_TRUE(plan.takes_request(at_ms(3'000), at_ms(3'800)));
+    EXPECT_FALSE(plan.takes_request(
+        plan.end() - milliseconds(100), plan.end() + milliseconds(1)));
+    EXPECT_LT(plan.end(), at_ms(6'000));
+}
+
 // Guards against answers after the caller has left or the route's limit has
 // passed.
 TEST(AnswerDeadline, IsTheEarlierOfCallerAndRoute)
