Test answers that break off at each byte

Reported by operators of similar systems: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

It does not happen here: a head is parsed only when its empty line has arrived, also where an answer may end with its connection. The test closes an orderly connection after each byte of three answers (length, chunks, empty).

--- a/test/net/connection_end_test.cpp
+++ b/test/net/connection_end_test.cpp
@@ -81,6 +81,17 @@
         return error;
     }
 
+    // Writes an answer and closes the connection in an orderly way.
+    void answer_and_close(std::string_view bytes)
+    {
+        char request[4'096];
+        while (::recv(connection_, request, sizeof(request), 0) > 0) {
+        }
+        EXPECT_EQ(::send(connection_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(bytes.size()));
+        close_connection();
+    }
+
 private:
     void close_connection()
     {
@@ -140,5 +151,31 @@
     EXPECT_EQ(server.read_to_the_end(), ECONNRESET);
 }
 
+// Guards against an answer that breaks off in its head or its body and reaches
+// the caller as a complete one.
+TEST(HttpClient, ReportsNoAnswerThatBreaksOff)
+{
+    const std::string answers[] = {
+        "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+        "0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    plain_server server;
+    for (const std::string& answer : answers) {
+        for (std::size_t size = 0; size < answer.size(); ++size) {
+            http_client client(
+                server.address(), {.allow_close_delimited = true});
+            std::optional<http_result> result;
+            client.send({}, call_timeout,
+                [&](http_result value) { result = std::move(value); });
+            ASSERT_TRUE(server.accept_request());
+            server.answer_and_close(std::string_view(answer).substr(0, size));
+            ASSERT_TRUE(run_until([&] { return result.has_value(); }));
+            EXPECT_FALSE(result->response) << answer.substr(0, size);
+            EXPECT_TRUE(result->sent);
+        }
+    }
+}
+
 } // namespace
 } // namespace filberthub
