Start from a table that a predecessor wrote late

Cause: a write of the predecessor was carried out after the new coordinator had read the table. Each of its own writes then conflicted, and reading back adopted only tables that it had written itself.

Change: before its first commit, a coordinator starts over from a stored table that is newer than the one it has read.

--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -61,6 +61,8 @@
     // The store had this table when it was read after a write that conflicted
     // or had no answer. Returns whether the table was committed by this
     // coordinator. That may be an earlier write, which was carried out late.
+    // Before its first commit, the coordinator starts over from a table that an
+    // earlier one has written meanwhile.
     bool on_read_back(
         const key_table& stored, std::uint64_t store_revision, time_point now);
     bool write_open() const
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -153,6 +153,15 @@
         on_written(store_revision, now);
         return true;
     }
+    if (!active_ && store_revision > revision_) {
+        // An earlier coordinator's write was carried out late. None of the
+        // writes that required the revision before it can be any more.
+        table_ = stored;
+        revision_ = store_revision;
+        pending_.reset();
+        undecided_.clear();
+        return false;
+    }
     on_write_undecided();
     return false;
 }
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -309,6 +309,34 @@
     EXPECT_EQ(commands[0].token.value(), 100U);
 }
 
+// Guards against a coordinator that never grants a key: its predecessor's write
+// was carried out after it had read the table, so that its own conflicts.
+TEST(KeyCoordinatorTakeover, StartsFromATableThatWasWrittenLate)
+{
+    const std::vector<key_server> servers{
+        {{backend_server_id("a"), 1}, 1, true}};
+    key_coordinator keys{key_granter_options{}, key_plan_options{}};
+    const key_table read = table_of({range_of(0, key_count - 1, "a", 7)});
+    keys.start(read, 5, at_ms(0), at_ms(0));
+    ASSERT_TRUE(keys.plan(servers, at_ms(0)));
+    // The write had no answer and is not carried out yet.
+    EXPECT_FALSE(keys.on_read_back(read, 5, at_ms(900)));
+
+    const auto conflicting = keys.plan(servers, at_ms(1'000));
+    ASSERT_TRUE(conflicting);
+    EXPECT_EQ(conflicting->base_revision, 5U);
+    key_table late = moved_table(100);
+    late.next_token = fencing_token(101);
+    EXPECT_FALSE(keys.on_read_back(late, 6, at_ms(1'010)));
+
+    const auto write = keys.plan(servers, at_ms(2'000));
+    ASSERT_TRUE(write);
+    EXPECT_EQ(write->base_revision, 6U);
+    keys.on_written(7, at_ms(2'010));
+    EXPECT_GT(keys.table().ranges.at(0).token, fencing_token(100));
+    EXPECT_FALSE(keys.granter().due(at_ms(2'010)).empty());
+}
+
 // Model of a backend server: it applies commands, including delayed ones, as
 // the platform specifies. No key may ever be held by two servers.
 struct model_server
