Bound the retries that a fleet can save by its requests

Cause: each instance saved nine earned retries, whatever the size of the fleet and its own rate of requests. What 295 instances save exceeds what the rule leaves for it.

Change: the saved retries are bounded by a part of the ratio for the requests of the last window, so that saved and earned ones together stay within the ratio. In a large fleet one whole retry of the allowance is held in reserve, as a part of one allows none.

The bound of WindowBudget.BoundsTheRetriesOfTheFleet was twice as wide as the rule, because it counted the requests of 20 s; it counts them as the rule does now.

--- a/include/filberthub/routing/window_budget.hpp
+++ b/include/filberthub/routing/window_budget.hpp
@@ -10,6 +10,7 @@
 
 #include <filberthub/base/types.hpp>
 
+#include <array>
 #include <cstddef>
 
 namespace filberthub {
@@ -25,8 +26,9 @@
 
 // Guarantees that all instances together make at most `ratio` times their
 // requests plus `allowance` retries in any window, provided that no instance
-// underestimates the size of the fleet. Instances exchange no messages for
-// this.
+// underestimates the size of the fleet. The requests are those of that window
+// or of the one before it, whichever has more. Instances exchange no messages
+// for this.
 class window_budget
 {
 public:
@@ -42,12 +44,23 @@
     double left(time_point now, std::size_t fleet_size);
 
 private:
+    // The requests of the last window are counted in parts of it.
+    static constexpr std::size_t bucket_count = 10;
+
     void refill(time_point now, std::size_t fleet_size);
+    void forget_old_requests(time_point now);
+    // This instance's part of the allowance, in retries per window.
+    double allowance_share(std::size_t fleet_size) const;
     // Largest number of tokens that the allowance provides at once.
     double reserve_limit(std::size_t fleet_size) const;
+    // Largest number of tokens that can be saved.
+    double token_limit(std::size_t fleet_size) const;
 
     window_budget_options options_;
     double tokens_ = 0;
+    std::array<double, bucket_count> recent_requests_{};
+    std::size_t bucket_ = 0;
+    time_point bucket_start_;
     time_point refilled_at_;
     bool started_ = false;
 };
--- a/test/routing/routing_test.cpp
+++ b/test/routing/routing_test.cpp
@@ -136,19 +136,45 @@
             repeats.push_back(now);
     }
     for (const std::int64_t end : repeats) {
-        const auto within = [end](const std::vector<std::int64_t>& times,
-                                std::int64_t span) {
-            return std::count_if(
+        const auto within = [](const std::vector<std::int64_t>& times,
+                                std::int64_t last) {
+            return static_cast<double>(std::count_if(
                 times.begin(), times.end(), [&](std::int64_t time) {
-                    return time <= end && time > end - span;
-                });
+                    return time <= last && time > last - 10'000;
+                }));
         };
-        // Tokens earned by requests may be one window old.
-        RC_ASSERT(static_cast<double>(within(repeats, 10'000)) <=
-                  135 + 0.2 * static_cast<double>(within(requests, 20'000)));
+        RC_ASSERT(within(repeats, end) <=
+                  135 + 0.2 * std::max({within(requests, end),
+                                  within(requests, end - 5'000),
+                                  within(requests, end - 10'000)}));
     }
 }
 
+// Guards against a large fleet that exceeds its budget: what the instances have
+// saved adds up, and an incident makes all of them spend it at once.
+TEST(WindowBudget, BoundsTheRetriesOfALargeFleetAfterACalmTime)
+{
+    constexpr std::size_t fleet_size = 295;
+    constexpr double allowance = 630;
+    constexpr std::int64_t window_ms = 10'000;
+    // Requests of each instance in a window.
+    constexpr std::int64_t requests = 100;
+    window_budget budget({0.2, allowance, milliseconds(window_ms)});
+    for (std::int64_t ms = 0; ms < 6 * window_ms; ms += window_ms / requests)
+        budget.on_request(at_ms(ms), fleet_size);
+
+    double retries = 0;
+    for (std::int64_t ms = 0; ms < window_ms; ++ms) {
+        const time_point now = at_ms(6 * window_ms + ms);
+        if (ms % (window_ms / requests) == 0)
+            budget.on_request(now, fleet_size);
+        while (budget.try_take(now, fleet_size))
+            ++retries;
+    }
+    EXPECT_LE(retries, 0.2 * requests + allowance / fleet_size);
+    EXPECT_GE(retries, 0.8 * 0.2 * requests);
+}
+
 // Guards against requests that are sent to a failed server again and again.
 TEST(ServerPool, AvoidsAnUnreachableServer)
 {
