Read a poll as a whole before it changes anything

Cause: the exchange was moved before the last fields were read, and the handler of the error answered it.

Evidence: feed_test.RefusesAPollWithoutAllFields ended with signal 11 before.

--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -102,19 +102,22 @@
     try {
         const json document =
             parse_json(exchange->request().body, error_kind::bad_peer_message);
+        // Read as a whole first, so that a malformed poll changes nothing.
         const instance_id sender(document.at("instance").get<std::string>());
-        members_[sender] = {
+        const polling_member member{
             {sender,
                 endpoint_from_string(document.at("address").get<std::string>()),
                 document.at("processor_share").get<double>()},
             document.at("leaving").get<bool>(), now};
-        on_report_(sender, decode_counts(document.at("counts")));
+        const load_counts counts = decode_counts(document.at("counts"));
         open_poll poll;
-        poll.exchange = std::move(exchange);
         // Change numbers of another process do not apply to this one.
         poll.after_change = document.at("run").get<std::uint64_t>() == run_id
                                 ? document.at("after").get<std::uint64_t>()
                                 : 0;
+        members_[sender] = member;
+        on_report_(sender, counts);
+        poll.exchange = std::move(exchange);
         poll.answer_by = now + timing().poll_wait();
         // Not answered at once: a series of changes would become a series of
         // replies to each instance, and all instances poll a new coordinator
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -98,6 +98,33 @@
     ASSERT_TRUE(run_until([&] { return client_.fresh(now_); }));
 }
 
+// Guards against an instance of another release, or a faulty one, whose poll
+// ends the coordinator.
+TEST_F(feed_test, RefusesAPollWithoutAllFields)
+{
+    const std::string polls[] = {
+        R"({"instance":"i","address":"127.0.0.1:1","processor_share":1,
+            "leaving":false,"counts":{"requests":{},"paces":{}}})",
+        R"({"instance":"i","address":"127.0.0.1:1","processor_share":1,
+            "leaving":false,"counts":{},"run":7,"after":0})"};
+    http_client instance(listener_.address(), {});
+    for (const std::string& poll : polls) {
+        http_request request;
+        request.method = "POST";
+        request.target = feed_path;
+        request.body = poll;
+        std::optional<int> status;
+        instance.send(
+            std::move(request), milliseconds(1'000), [&](http_result result) {
+                status = result.response ? result.response->status : 0;
+            });
+        ASSERT_TRUE(run_until([&] { return status.has_value(); }));
+        EXPECT_EQ(*status, 400);
+    }
+    for (const live_instance& member : server_.members())
+        EXPECT_NE(member.id.value(), "i");
+}
+
 // Guards against a follower that no longer acts on changes after a malformed
 // reply.
 TEST(FeedClient, ActsOnChangesAfterAMalformedReply)
