Count grants from before a lapse of the lease as earlier ones

Cause: the process that renews its lapsed lease starts anew as a coordinator, but with the end of earlier leases from its first takeover.

Change: a confirmation after a lapse moves that end to the time of the lapse.

Evidence: CoordinatorLease.CountsItsOwnGrantsBeforeALapseAsEarlierOnes failed before. Not shown with processes.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -148,14 +148,17 @@
     // The holder of a later term asked this process to stop granting.
     void on_superseded(std::uint64_t term);
 
-    // Time after which no earlier coordinator sends grants. Only meaningful
-    // while this process is the holder.
+    // Time after which no earlier coordinator sends grants, nor this process
+    // from before its lease lapsed. Only meaningful while this process is the
+    // holder.
     time_point earlier_leases_end() const
     {
         return earlier_leases_end_;
     }
 
 private:
+    void confirm(time_point now);
+
     lease_record self_;
     lease_options options_;
     std::optional<lease_record> record_;
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -69,7 +69,7 @@
         confirmed_at_.reset();
     // The last write of this process was carried out, but its answer was lost.
     if (write_uncertain_ && is_holder() && *record_ == written_record_)
-        confirmed_at_ = written_at_;
+        confirm(now);
     write_uncertain_ = false;
 }
 
@@ -171,7 +171,19 @@
     return lease_write{revision_, next};
 }
 
-void coordinator_lease::on_written(std::uint64_t store_revision, time_point)
+// The lease is valid from the last write on. If it had lapsed meanwhile, what
+// this process granted before counts like the grants of an earlier coordinator,
+// because they are not known any more.
+void coordinator_lease::confirm(time_point now)
+{
+    if (confirmed_at_ && now >= *confirmed_at_ + options_.duration) {
+        earlier_leases_end_ =
+            std::max(earlier_leases_end_, *confirmed_at_ + options_.duration);
+    }
+    confirmed_at_ = written_at_;
+}
+
+void coordinator_lease::on_written(std::uint64_t store_revision, time_point now)
 {
     if (!write_open_)
         return;
@@ -179,7 +191,7 @@
     record_ = written_record_;
     revision_ = store_revision;
     if (is_holder())
-        confirmed_at_ = written_at_;
+        confirm(now);
 }
 
 void coordinator_lease::on_write_failed(time_point now)
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -47,6 +47,24 @@
     EXPECT_FALSE(lease.holds(at_ms(8'000)));
 }
 
+// Guards against two owners: a lease that lapsed in an outage is renewed by the
+// same process, which knows nothing of what it granted before.
+TEST(CoordinatorLease, CountsItsOwnGrantsBeforeALapseAsEarlierOnes)
+{
+    coordinator_lease lease = lease_of("a", 1);
+    lease.on_read(std::nullopt, 0, at_ms(0));
+    lease.next_write(at_ms(0));
+    lease.on_written(4, at_ms(5));
+    lease.next_write(at_ms(8'000) - lease_options{}.renewal);
+    lease.on_written(5, at_ms(8'000) - lease_options{}.renewal);
+    const time_point lapsed = at_ms(16'000) - lease_options{}.renewal;
+    ASSERT_FALSE(lease.holds(lapsed));
+    ASSERT_TRUE(lease.next_write(lapsed + milliseconds(400)));
+    lease.on_written(6, lapsed + milliseconds(410));
+    ASSERT_TRUE(lease.holds(lapsed + milliseconds(410)));
+    EXPECT_GE(lease.earlier_leases_end(), lapsed);
+}
+
 // Guards against a takeover while the coordinator still answers.
 TEST(CoordinatorLease, IsNotTakenWhileItsHolderAnswers)
 {
