--- a/test/routing/routing_builders.hpp
+++ b/test/routing/routing_builders.hpp
@@ -66,6 +66,14 @@
         first, last, {backend_server_id(owner), 1}, fencing_token(token), {}};
 }
 
+inline key_table table_of(std::vector<key_range> ranges)
+{
+    key_table table;
+    table.ranges = std::move(ranges);
+    table.next_token = fencing_token(100);
+    return table;
+}
+
 } // namespace filberthub
 
 #endif
