--- a/include/filberthub/routing/object_cache.hpp
+++ b/include/filberthub/routing/object_cache.hpp
@@ -11,6 +11,7 @@
 #include <filberthub/base/types.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +31,10 @@
     std::optional<std::string> value;
 };
 
+// By kind, the version up to which all objects of the kind are known. Kinds
+// that are not in it may lack any object.
+using complete_versions = std::map<std::string, object_version, std::less<>>;
+
 // Guarantees that the version of a key never decreases. Removed objects are
 // kept as tombstones, so that an older copy does not restore them.
 class object_cache
@@ -47,6 +52,19 @@
     // oldest change first.
     std::vector<versioned_object> changes_after(std::uint64_t last_seen) const;
 
+    // Returns the objects that a cache may lack which is complete up to these
+    // versions, oldest change first.
+    std::vector<versioned_object> changes_beyond(
+        const complete_versions& complete) const;
+
+    // To be called when all changes of the objects of `kind` up to `version`
+    // were merged.
+    void set_complete(const std::string& kind, object_version version);
+    const complete_versions& complete() const
+    {
+        return complete_;
+    }
+
     // Number of the last change.
     std::uint64_t last_change() const
     {
@@ -67,6 +85,7 @@
     // From the number of the last change of each key to that key.
     std::map<std::uint64_t, std::string> by_change_;
     std::uint64_t last_change_ = 0;
+    complete_versions complete_;
 };
 
 } // namespace filberthub
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -90,6 +90,12 @@
     {
         return objects_;
     }
+    // To be called when all changes of the objects of `kind` up to `version`
+    // were applied.
+    void set_complete(const std::string& kind, object_version version)
+    {
+        objects_.set_complete(kind, version);
+    }
     std::shared_ptr<const route_table> routes() const
     {
         return routes_;
--- /dev/null
+++ b/src/router/feed_messages.hpp
@@ -0,0 +1,33 @@
+// Parts of the polls and replies of the change feed, as JSON. Internal to
+// `router`. The functions that decode throw an exception if a field is missing
+// or has another type.
+
+#ifndef FILBERTHUB_ROUTER_FEED_MESSAGES_HPP
+#define FILBERTHUB_ROUTER_FEED_MESSAGES_HPP
+
+#include "router/fleet_feed.hpp"
+
+#include <filberthub/base/json_reader.hpp>
+
+namespace filberthub {
+
+// A changed object, and an upper bound of the age of the change.
+struct received_change
+{
+    versioned_object object;
+    milliseconds age{0};
+};
+
+json encode_counts(const load_counts& counts);
+load_counts decode_counts(const json& document);
+
+// Decodes the rows of changed objects of a reply.
+std::vector<received_change> decode_changes(const json& rows);
+
+json encode_complete(const complete_versions& versions);
+// Decodes the field "complete" of a poll or a reply.
+complete_versions decode_complete(const json& document);
+
+} // namespace filberthub
+
+#endif
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -1,5 +1,6 @@
 #include "router/fleet_feed.hpp"
 
+#include "router/feed_messages.hpp"
 #include "router/peer_messages.hpp"
 
 #include <filberthub/base/json_reader.hpp>
@@ -13,69 +14,6 @@
 
 constexpr milliseconds retry_delay{250};
 
-json encode_counts(const load_counts& counts)
-{
-    json requests = json::object();
-    for (const auto& [service, keys] : counts.requests) {
-        json rows = json::array();
-        for (const auto& [key, count] : keys)
-            rows.push_back({key, count});
-        requests[service.value()] = std::move(rows);
-    }
-    json slowdowns = json::object();
-    for (const auto& [server, slowdown] : counts.slowdowns)
-        slowdowns[server.value()] = slowdown;
-    json leaving = json::object();
-    for (const auto& [server, started] : counts.leaving)
-        leaving[server.value()] = started;
-    return {{"requests", requests}, {"paces", slowdowns}, {"leaving", leaving}};
-}
-
-load_counts decode_counts(const json& document)
-{
-    load_counts counts;
-    for (const auto& [service, rows] : document.at("requests").items()) {
-        auto& keys = counts.requests[service_id(service)];
-        for (const json& row : rows)
-            keys[row.at(0).get<key_number>()] += row.at(1).get<std::uint32_t>();
-    }
-    for (const auto& [server, slowdown] : document.at("paces").items())
-        counts.slowdowns[backend_server_id(server)] = slowdown.get<double>();
-    // An instance of an earlier release does not send them.
-    if (document.contains("leaving")) {
-        for (const auto& [server, started] : document.at("leaving").items()) {
-            counts.leaving[backend_server_id(server)] =
-                started.get<std::uint64_t>();
-        }
-    }
-    return counts;
-}
-
-// A changed object, and an upper bound of the age of the change.
-struct received_change
-{
-    versioned_object object;
-    milliseconds age{0};
-};
-
-std::vector<received_change> decode_changes(const json& rows)
-{
-    std::vector<received_change> changes;
-    changes.reserve(rows.size());
-    for (const json& row : rows) {
-        received_change change;
-        change.object.key = row.at(0).get<std::string>();
-        change.object.version = object_version(row.at(1).get<std::uint64_t>());
-        if (!row.at(2).is_null())
-            change.object.value = row.at(2).get<std::string>();
-        // A coordinator of an earlier release does not send the age.
-        if (row.size() > 3)
-            change.age = read_milliseconds(row.at(3));
-        changes.push_back(std::move(change));
-    }
-    return changes;
-}
-
 http_response text_response(int status, const std::string& body)
 {
     http_response response;
@@ -112,9 +50,10 @@
         const load_counts counts = decode_counts(document.at("counts"));
         open_poll poll;
         // Change numbers of another process do not apply to this one.
-        poll.after_change = document.at("run").get<std::uint64_t>() == run_id
-                                ? document.at("after").get<std::uint64_t>()
-                                : 0;
+        if (document.at("run").get<std::uint64_t>() == run_id)
+            poll.after_change = document.at("after").get<std::uint64_t>();
+        else
+            poll.complete = decode_complete(document);
         members_[sender] = member;
         on_report_(sender, counts);
         poll.exchange = std::move(exchange);
@@ -131,18 +70,21 @@
     }
 }
 
-std::string feed_server::encode_reply(std::uint64_t after_change,
+std::string feed_server::encode_reply(const open_poll& poll,
     std::uint64_t run_id, feed_age age, time_point now) const
 {
+    const object_cache& known = view_.objects();
     json objects = json::array();
     for (const versioned_object& object :
-        view_.objects().changes_after(after_change)) {
+        poll.after_change > 0 ? known.changes_after(poll.after_change)
+                              : known.changes_beyond(poll.complete)) {
         objects.push_back({object.key, object.version.value(),
             object.value ? json(*object.value) : json(nullptr),
             view_.max_change_age(object.key, now).count()});
     }
-    return json{{"run", run_id}, {"change", view_.objects().last_change()},
-        {"facts", objects}, {"fleet", view_.fleet_size()},
+    return json{{"run", run_id}, {"change", known.last_change()},
+        {"facts", objects}, {"complete", encode_complete(known.complete())},
+        {"fleet", view_.fleet_size()},
         {"hold_ms", timing().poll_wait().count()},
         {"store_age_ms", age.store.count()}, {"view_age_ms", age.view.count()}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
@@ -186,15 +128,15 @@
     std::vector<open_poll> waiting;
     waiting.swap(polls_);
     // Most instances have the same changes, so that one text serves them all.
-    std::map<std::uint64_t, std::string> replies;
+    std::map<std::pair<std::uint64_t, complete_versions>, std::string> replies;
     for (open_poll& poll : waiting) {
         if (!is_due(poll)) {
             polls_.push_back(std::move(poll));
             continue;
         }
-        std::string& text = replies[poll.after_change];
+        std::string& text = replies[{poll.after_change, poll.complete}];
         if (text.empty())
-            text = encode_reply(poll.after_change, run_id, age, now);
+            text = encode_reply(poll, run_id, age, now);
         poll.exchange->respond(text_response(200, text));
     }
 }
@@ -279,6 +221,7 @@
         {"address", to_string(self_.address)},
         {"processor_share", self_.processor_share}, {"leaving", leaving_},
         {"run", run_id_}, {"after", last_change_},
+        {"complete", encode_complete(view_.objects().complete())},
         {"counts", encode_counts(take_load_counts_())}}
                        .dump();
     client_->send(std::move(request), timing_.poll_timeout(),
@@ -320,6 +263,7 @@
     // Read as a whole first, so that a malformed reply changes nothing.
     const std::vector<received_change> changes =
         decode_changes(document.at("facts"));
+    const complete_versions complete = decode_complete(document);
     view_.update_together([&] {
         for (const received_change& change : changes) {
             const time_point changed_since = now - change.age;
@@ -330,6 +274,8 @@
         }
     });
     view_.set_changes_missed_since(std::nullopt);
+    for (const auto& [kind, version] : complete)
+        view_.set_complete(kind, version);
     run_id_ = run_id;
     last_change_ = document.at("change").get<std::uint64_t>();
     view_.set_fleet_size(document.at("fleet").get<std::size_t>(), now);
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -50,8 +50,11 @@
 };
 
 // The coordinator's side of the feed. Guarantees that a reply holds every
-// object that has changed since the change number in the poll, with an upper
-// bound of the age of its change.
+// object that the instance may lack, with an upper bound of the age of its
+// change: what has changed since the change number in the poll, or, in a poll
+// that followed another process, since the versions of its last complete view.
+// The whole view for each instance would take longer than a lease lasts in a
+// large fleet.
 class feed_server
 {
 public:
@@ -89,15 +92,18 @@
     struct open_poll
     {
         std::shared_ptr<http_exchange> exchange;
-        // Number of the last change that the instance has.
+        // Number of the last change that the instance has; 0 if it has followed
+        // another process.
         std::uint64_t after_change = 0;
+        // Set if `after_change` is 0.
+        complete_versions complete;
         time_point answer_by;
     };
 
     template <class Condition>
     void answer_if(std::uint64_t run_id, feed_age age, time_point now,
         const Condition& is_due);
-    std::string encode_reply(std::uint64_t after_change, std::uint64_t run_id,
+    std::string encode_reply(const open_poll& poll, std::uint64_t run_id,
         feed_age age, time_point now) const;
     fleet_timing timing() const;
 
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -155,15 +155,17 @@
 
 void fleet_role::apply_update(const watch_update& update, time_point now)
 {
+    const object_version version =
+        platform_api::removal_version(update.store_revision);
     if (update.complete) {
-        view_.update_list(update.kind, update.objects,
-            platform_api::removal_version(update.store_revision), now);
-        return;
+        view_.update_list(update.kind, update.objects, version, now);
+    } else {
+        view_.update_together([&] {
+            for (const versioned_object& object : update.objects)
+                view_.update(object, now);
+        });
     }
-    view_.update_together([&] {
-        for (const versioned_object& object : update.objects)
-            view_.update(object, now);
-    });
+    view_.set_complete(platform_api::kind_name(update.kind), version);
 }
 
 // Runs a tick soon, because the next regular one may be too late for a change
--- a/src/routing/object_cache.cpp
+++ b/src/routing/object_cache.cpp
@@ -1,5 +1,6 @@
 #include <filberthub/routing/object_cache.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace filberthub {
@@ -55,6 +56,28 @@
     return changes;
 }
 
+std::vector<versioned_object> object_cache::changes_beyond(
+    const complete_versions& complete) const
+{
+    std::vector<versioned_object> changes;
+    for (const auto& [change, key] : by_change_) {
+        const versioned_object& object = objects_.at(key).object;
+        const std::string_view kind =
+            std::string_view(key).substr(0, key.find('/'));
+        const auto found = complete.find(kind);
+        if (found == complete.end() || object.version > found->second)
+            changes.push_back(object);
+    }
+    return changes;
+}
+
+void object_cache::set_complete(const std::string& kind, object_version version)
+{
+    object_version& known =
+        complete_.try_emplace(kind, object_version{}).first->second;
+    known = std::max(known, version);
+}
+
 const versioned_object* object_cache::find(const std::string& key) const
 {
     const auto found = objects_.find(key);
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace filberthub {
 namespace {
 
@@ -47,6 +49,32 @@
         client_.follow(lease);
     }
 
+    // Polls as an instance that has followed another coordinator and has all
+    // servers up to a version, if there is one. Returns the reply.
+    json poll_after_another_coordinator(std::optional<std::uint64_t> version)
+    {
+        json poll{{"instance", "i"}, {"address", "127.0.0.1:1"},
+            {"processor_share", 1}, {"leaving", false},
+            {"counts",
+                {{"requests", json::object()}, {"paces", json::object()}}},
+            {"run", run_id + 1}, {"after", 5}};
+        if (version)
+            poll["complete"] = {{"server", *version}};
+        http_request request;
+        request.method = "POST";
+        request.target = feed_path;
+        request.body = poll.dump();
+        http_client instance(listener_.address(), {});
+        std::optional<json> reply;
+        instance.send(
+            std::move(request), milliseconds(1'000), [&](http_result result) {
+                reply = result.response ? json::parse(result.response->body)
+                                        : json::object();
+            });
+        EXPECT_TRUE(run_until([&] { return reply.has_value(); }));
+        return reply.value_or(json::object());
+    }
+
     const observed_server* follower_server() const
     {
         return follower_view_.servers().find(backend_server_id("i-1"));
@@ -98,6 +126,38 @@
     ASSERT_TRUE(run_until([&] { return client_.fresh(now_); }));
 }
 
+// Guards against a new coordinator that cannot reach a large fleet in time,
+// because it sends the whole view to each instance.
+TEST_F(feed_test, SendsOnlyWhatAnInstanceMayLackAfterAnotherCoordinator)
+{
+    coordinator_view_.set_complete("server", object_version(3));
+    coordinator_view_.update({"server/i-2", object_version(6), "{}"}, now_);
+    const auto keys_of = [](const json& reply) {
+        std::set<std::string> keys;
+        for (const json& row : reply.at("facts"))
+            keys.insert(row.at(0).get<std::string>());
+        return keys;
+    };
+    const json partial = poll_after_another_coordinator(3);
+    EXPECT_EQ(keys_of(partial), std::set<std::string>{"server/i-2"});
+    EXPECT_EQ(partial.at("complete").at("server"), 3);
+    // Without a complete view it needs everything.
+    EXPECT_EQ(keys_of(poll_after_another_coordinator(std::nullopt)),
+        (std::set<std::string>{"server/i-1", "server/i-2"}));
+}
+
+// Guards against a follower that lacks objects after a change of coordinators,
+// because it claims a version up to which it was never complete.
+TEST_F(feed_test, IsCompleteOnlyUpToWhatItsCoordinatorIs)
+{
+    coordinator_view_.set_complete("server", object_version(1));
+    coordinator_view_.update(server_object(4, "ready"), now_);
+    server_.flush(run_id, feed_age{}, now_);
+    ASSERT_TRUE(run_until([&] { return follower_server() != nullptr; }));
+    const complete_versions& complete = follower_view_.objects().complete();
+    EXPECT_EQ(complete.at("server"), object_version(1));
+}
+
 // Guards against an instance of another release, or a faulty one, whose poll
 // ends the coordinator.
 TEST_F(feed_test, RefusesAPollWithoutAllFields)
--- a/test/routing/routing_test.cpp
+++ b/test/routing/routing_test.cpp
@@ -86,6 +86,24 @@
     return config;
 }
 
+// Guards against an instance that lacks an object that another one regards as
+// known to it.
+TEST(ObjectCache, ReturnsAllObjectsBeyondACompleteVersion)
+{
+    object_cache cache;
+    cache.merge(object_of("server/i-1", 4, "old"));
+    cache.merge(object_of("server/i-2", 7, std::nullopt));
+    cache.merge(object_of("fleet/members", 2, "m"));
+    const auto changes = cache.changes_beyond({{"server", object_version(4)}});
+    ASSERT_THAT(changes, SizeIs(2));
+    EXPECT_EQ(changes[0].key, "server/i-2");
+    EXPECT_EQ(changes[1].key, "fleet/members");
+
+    cache.set_complete("server", object_version(7));
+    cache.set_complete("server", object_version(5));
+    EXPECT_EQ(cache.complete().at("server"), object_version(7));
+}
+
 // Guards against requests that are handled by the route of a shorter prefix or
 // of another host.
 TEST(RouteTable, PrefersTheLongestPrefixOfTheHost)
