Tell why keys have no owner, in logs and metrics

One reason, 'no owner of the key', stood for five different states of an owner, and nothing told how many keys wait for what. The reason of a refused request now names the state of the owner, and the coordinator tells once a second how many keys wait for a release, a token or a grant, how many commands are under way and how old the table is: a line while any key has no owner, and the gauge filberthub_keys{service,stage}.

Test: KeyGranter.TellsWhyKeysAreNotGranted (new interface, so that it could not fail before).

--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -74,6 +74,10 @@
     {
         return granter_;
     }
+    const key_granter& granter() const
+    {
+        return granter_;
+    }
     const key_table& table() const
     {
         return table_;
--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -66,6 +66,26 @@
     duration max_grant_duration() const;
 };
 
+// How many keys of the table are in which stage of their grant.
+struct key_coverage
+{
+    // The owner has accepted them, with the present or an earlier token.
+    std::size_t served = 0;
+    // A previous owner may still hold them.
+    std::size_t awaiting_release = 0;
+    // The present token was refused, so that the table needs a new one.
+    std::size_t awaiting_token = 0;
+    // The owner has not yet accepted them.
+    std::size_t awaiting_grant = 0;
+    // Commands without an answer, as a number of commands.
+    std::size_t open_commands = 0;
+
+    bool complete() const
+    {
+        return awaiting_release + awaiting_token + awaiting_grant == 0;
+    }
+};
+
 // Guarantees that a key is granted to a server only when every other server
 // that was granted the key has released it, has restarted, or can no longer
 // hold it because each grant sent to it has expired. A grant without an answer
@@ -114,6 +134,8 @@
     {
         return granted_version_;
     }
+    // Tells why keys of the table are not granted. Each key counts once.
+    key_coverage coverage() const;
     // Whether the owner of the range with this token has accepted it.
     bool is_granted(fencing_token token) const;
     // Tokens that a server refused as outdated, or that it may have had in an
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -47,6 +47,24 @@
     return server == nullptr || now < server->avoid_until;
 }
 
+// Tells why no request for this key can be sent now.
+std::string_view caller_service::owner_problem(
+    const caller_request& request, time_point now) const
+{
+    const auto owner = view_.owner_of(request.service, *request.key);
+    if (!owner)
+        return "no owner of the key";
+    const server_pool& servers = view_.servers();
+    const observed_server* server = servers.find(*owner);
+    if (server == nullptr)
+        return "the owner of the key is not registered";
+    if (now < server->avoid_until)
+        return "the owner of the key has failed";
+    if (!servers.allows_assigned(*server, true, now))
+        return "the owner of the key takes no requests";
+    return "the owner of the key is cold";
+}
+
 // Returns for how long the owner of the request's key wants no requests.
 milliseconds caller_service::owner_rest(
     const caller_request& request, time_point now) const
@@ -204,12 +222,12 @@
             failure_of(request->state, false,
                 rest.count() > 0 ? rest : retry_delay_after_loss),
             rest.count() > 0 ? "the owner of the key wants no requests"
-                             : "no owner of the key");
+                             : owner_problem(*request, now));
         return;
     }
     if (owner_is_lost(*request, now)) {
         fail(request, failure_of(request->state, false, retry_delay_after_loss),
-            "no owner of the key");
+            owner_problem(*request, now));
         return;
     }
     retry_later(request, now);
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -14,6 +14,7 @@
 // publishes.
 constexpr unsigned term_shift = 32;
 constexpr milliseconds local_report_interval{300};
+constexpr milliseconds progress_report_interval{1'000};
 // An instance without changes from a coordinator reads the store itself after
 // this time.
 constexpr milliseconds isolation_grace{250};
@@ -79,6 +80,7 @@
     std::function<time_point()> clock)
     : settings_(settings),
       view_(view),
+      metrics_(metrics),
       take_load_counts_(std::move(take_load_counts)),
       clock_(std::move(clock)),
       self_(make_self_record(settings, view.uniform_random())),
@@ -228,10 +230,44 @@
         publish_members(now);
     }
     controller_->advance(now);
+    if (now >= next_progress_report_) {
+        next_progress_report_ = now + progress_report_interval;
+        report_grant_progress(now);
+    }
     server_.answer_due(self_.run_id, view_age(now), now);
     flush_soon();
 }
 
+void fleet_role::report_grant_progress(time_point now)
+{
+    for (const auto& [id, progress] : controller_->grant_progress(now)) {
+        const key_coverage& keys = progress.keys;
+        const std::pair<const char*, std::size_t> stages[] = {
+            {"served", keys.served},
+            {"awaiting_release", keys.awaiting_release},
+            {"awaiting_token", keys.awaiting_token},
+            {"awaiting_grant", keys.awaiting_grant}};
+        for (const auto& [stage, count] : stages) {
+            metrics_
+                .add_gauge("filberthub_keys",
+                    "Keys of a service by the stage of their grant; of the "
+                    "coordinator only.",
+                    {{"service", id.value()}, {"stage", stage}})
+                .set(static_cast<double>(count));
+        }
+        if (keys.complete())
+            continue;
+        log_event(log_level::info, "keys without an owner",
+            {{log_key::service, id.value()}, {"served", keys.served},
+                {"awaiting_release", keys.awaiting_release},
+                {"awaiting_token", keys.awaiting_token},
+                {"awaiting_grant", keys.awaiting_grant},
+                {"open_commands", keys.open_commands},
+                {"table_age_ms", progress.table_age.count()},
+                {"write_open", progress.write_open}});
+    }
+}
+
 void fleet_role::publish_members(time_point now)
 {
     std::vector<live_instance> members = server_.members();
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -68,11 +68,14 @@
     milliseconds store_age(time_point now) const;
     feed_age view_age(time_point now) const;
     void publish_members(time_point now);
+    // Reports the keys without an owner, by cause.
+    void report_grant_progress(time_point now);
     void stop_predecessor();
     void on_stop_request(http_exchange& exchange);
 
     const route_settings& settings_;
     deployment_view& view_;
+    metric_registry& metrics_;
     std::function<load_counts()> take_load_counts_;
     std::function<time_point()> clock_;
     lease_record self_;
@@ -90,6 +93,7 @@
     bool tick_pending_ = false;
     QTimer flush_timer_;
     time_point next_report_;
+    time_point next_progress_report_;
     // The last published list of members, and the number of lists published.
     std::string published_members_;
     std::uint64_t publication_count_ = 0;
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -76,6 +76,7 @@
         if (!rule.keyed || services_.contains(id))
             continue;
         auto& service = services_.try_emplace(id, grants).first->second;
+        service.committed_at = now;
         const auto found = stored_tables_.find(id);
         if (found == stored_tables_.end())
             service.keys.start(std::nullopt, 0, earlier_grants_end_, now);
@@ -318,6 +319,21 @@
         now);
 }
 
+std::map<service_id, ownership_controller::progress>
+ownership_controller::grant_progress(time_point now) const
+{
+    std::map<service_id, progress> result;
+    for (const auto& [id, service] : services_) {
+        progress state;
+        state.keys = service.keys.granter().coverage();
+        state.table_age = std::chrono::duration_cast<milliseconds>(
+            now - service.committed_at);
+        state.write_open = service.keys.write_open();
+        result.emplace(id, state);
+    }
+    return result;
+}
+
 void ownership_controller::on_predecessor_stopped(time_point earlier_leases_end)
 {
     earlier_grants_end_ = std::min(earlier_grants_end_,
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -37,6 +37,17 @@
     // `earlier_leases_end` on.
     void on_predecessor_stopped(time_point earlier_leases_end);
 
+    // How far the grants of a service have come.
+    struct progress
+    {
+        key_coverage keys;
+        // Time since the last table was committed by this coordinator.
+        milliseconds table_age{0};
+        // Whether a table write has no known outcome yet.
+        bool write_open = false;
+    };
+    std::map<service_id, progress> grant_progress(time_point now) const;
+
 private:
     struct service_ownership
     {
@@ -45,6 +56,8 @@
         key_coordinator keys;
         bool started = false;
         time_point next_plan;
+        // When this coordinator committed the present table, or started.
+        time_point committed_at;
         // The last published texts of the served key ranges, by part.
         std::vector<std::string> published_parts;
         // `key_granter::granted_version` at that time.
--- a/src/router/ownership_tables.cpp
+++ b/src/router/ownership_tables.cpp
@@ -80,6 +80,7 @@
     try {
         const auto object = platform_api::decode_object(body);
         service.keys.on_written(object.store_revision, clock_());
+        service.committed_at = clock_();
         log_event(log_level::info, "ownership table committed",
             {{log_key::service, id.value()},
                 {"ranges", service.keys.table().ranges.size()},
@@ -115,6 +116,8 @@
                 const bool committed = current.keys.on_read_back(
                     key_table::from_text(object.content), object.store_revision,
                     clock_());
+                if (committed)
+                    current.committed_at = clock_();
                 log_event(log_level::info, "ownership table read back",
                     {{log_key::service, id.value()}, {"committed", committed},
                         {"store_version", object.store_revision}});
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -343,6 +343,24 @@
     return result;
 }
 
+key_coverage key_granter::coverage() const
+{
+    key_coverage result;
+    for (const auto& [token, state] : states_) {
+        const std::size_t keys = state.range.last - state.range.first + 1;
+        if (state.accepted || state.held_before)
+            result.served += keys;
+        else if (!state.earlier_holders.empty())
+            result.awaiting_release += keys;
+        else if (state.outdated)
+            result.awaiting_token += keys;
+        else
+            result.awaiting_grant += keys;
+    }
+    result.open_commands = open_commands_.size();
+    return result;
+}
+
 bool key_granter::is_granted(fencing_token token) const
 {
     const auto found = states_.find(token);
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -52,6 +52,25 @@
     EXPECT_FALSE(only_command(750).release);
 }
 
+// Guards against keys without an owner whose cause the logs do not tell.
+TEST_F(KeyGranter, TellsWhyKeysAreNotGranted)
+{
+    EXPECT_EQ(granter_.coverage().awaiting_grant, key_count);
+    grant_first();
+    EXPECT_EQ(granter_.coverage().served, key_count);
+    EXPECT_TRUE(granter_.coverage().complete());
+
+    granter_.adopt(moved_table(), at_ms(10));
+    EXPECT_EQ(granter_.coverage().awaiting_release, key_count);
+    const grant_command release = only_command(10);
+    EXPECT_EQ(granter_.coverage().open_commands, 1U);
+    granter_.on_reply(release.number, grant_reply::accepted, "", at_ms(20));
+    const grant_command grant = only_command(20);
+    granter_.on_reply(grant.number, grant_reply::outdated, "", at_ms(30));
+    EXPECT_EQ(granter_.coverage().awaiting_token, key_count);
+    EXPECT_FALSE(granter_.coverage().complete());
+}
+
 // Guards against a server that restarted under its id and gets its keys with
 // the token of its earlier incarnation.
 TEST_F(KeyGranter, NeedsANewTokenAfterALostConnection)
