Leave the lease of a coordinator that is cut off to large instances first

Cause: instances with a small processor share wait for 0.5 s longer, but after a report that the coordinator is cut off, the wait was counted from its last good answer, which is over 1.5 s ago by then. The wait is counted from the report now.

Test: CoordinatorLease.LeavesTheLeaseOfAHolderThatWasCutOffToOthersFirst, which failed before (with the new signature only, as the time is an argument now).

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -95,9 +95,8 @@
     void on_coordinator_answered(time_point now);
     // To be called when the coordinator answered this process and reported that
     // the store has not answered it for longer than a renewal takes. Returns
-    // whether the lease has to be read now. Unless that read shows a renewal,
-    // the lease is taken over.
-    bool on_coordinator_cut_off();
+    // whether the lease has to be read now. Unless that read shows a renewal, the lease is taken over after `takeover_jitter`.
+    bool on_coordinator_cut_off(time_point now);
 
     // Returns the write to make now: a renewal, or a takeover if the
     // coordinator is silent or cut off from the store. Returns nothing while an
@@ -169,6 +168,8 @@
     // Whether the coordinator has reported, since its last observed renewal,
     // that it does not reach the store.
     bool coordinator_cut_off_ = false;
+    // When it was first reported.
+    time_point cut_off_reported_at_;
     // Whether the lease has not been read since that report.
     bool read_due_ = false;
     // Whether the last write may have succeeded although no success was
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -109,7 +109,7 @@
     client_.on_answered([this](milliseconds age) {
         if (age < coordinator_cut_off_age)
             lease_.on_coordinator_answered(clock_());
-        else if (lease_.on_coordinator_cut_off())
+        else if (lease_.on_coordinator_cut_off(clock_()))
             read_lease();
     });
     // The tick starts the watch of the lease, which reads the lease.
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -80,11 +80,12 @@
     read_due_ = false;
 }
 
-bool coordinator_lease::on_coordinator_cut_off()
+bool coordinator_lease::on_coordinator_cut_off(time_point now)
 {
     if (coordinator_cut_off_)
         return false;
     coordinator_cut_off_ = true;
+    cut_off_reported_at_ = now;
     read_due_ = true;
     return true;
 }
@@ -117,12 +118,14 @@
         // restarted, and no other process acts for that holder.
         const bool restarted = record_ && record_->holder == self_.holder;
         const bool unheld = !record_ || record_->holder.empty() || restarted;
+        const bool cut_off = coordinator_cut_off_ && !unheld;
         const milliseconds silence_limit =
-            restarted ? milliseconds(0)
-            : unheld || coordinator_cut_off_
-                ? options_.takeover_jitter
-                : options_.takeover + options_.takeover_jitter;
-        if (now < last_heard_ + silence_limit)
+            restarted           ? milliseconds(0)
+            : unheld || cut_off ? options_.takeover_jitter
+                                : options_.takeover + options_.takeover_jitter;
+        const time_point delayed_since =
+            cut_off ? std::max(last_heard_, cut_off_reported_at_) : last_heard_;
+        if (now < delayed_since + silence_limit)
             return std::nullopt;
         next.term = record_ ? record_->term + 1 : 1;
         // A holder that resigned or restarted has stopped granting, but a
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -98,8 +98,8 @@
     coordinator_lease lease = lease_of("b", 2);
     lease.on_read(record_of("a", 1), 4, at_ms(0));
     lease.on_coordinator_answered(at_ms(9'000));
-    EXPECT_TRUE(lease.on_coordinator_cut_off());
-    EXPECT_FALSE(lease.on_coordinator_cut_off());
+    EXPECT_TRUE(lease.on_coordinator_cut_off(at_ms(11'000)));
+    EXPECT_FALSE(lease.on_coordinator_cut_off(at_ms(11'000)));
     // The lease may have been renewed since it was read last.
     EXPECT_FALSE(lease.next_write(at_ms(12'000)).has_value());
     lease.on_read(record_of("a", 1), 9, at_ms(12'000));
@@ -115,15 +115,29 @@
     coordinator_lease lease(
         record_of("b", 2), lease_options{.takeover_jitter = milliseconds(100)});
     lease.on_read(record_of("a", 1), 4, at_ms(0));
-    lease.on_coordinator_cut_off();
+    lease.on_coordinator_cut_off(at_ms(900));
     lease.on_read(record_of("a", 1), 9, at_ms(1'000));
     lease.on_read(record_of("a", 1), 10, at_ms(1'050));
     EXPECT_FALSE(lease.next_write(at_ms(1'200)).has_value());
-    lease.on_coordinator_cut_off();
+    lease.on_coordinator_cut_off(at_ms(1'250));
     lease.on_coordinator_answered(at_ms(1'300));
     EXPECT_FALSE(lease.next_write(at_ms(1'500)).has_value());
 }
 
+// Guards against a large fleet that is coordinated by a small instance: the
+// delay that leaves the lease to others begins with the report.
+TEST(CoordinatorLease, LeavesTheLeaseOfAHolderThatWasCutOffToOthersFirst)
+{
+    coordinator_lease lease(
+        record_of("b", 2), lease_options{.takeover_jitter = milliseconds(500)});
+    lease.on_read(record_of("a", 1), 4, at_ms(0));
+    lease.on_coordinator_answered(at_ms(1'000));
+    lease.on_coordinator_cut_off(at_ms(3'000));
+    lease.on_read(record_of("a", 1), 4, at_ms(3'010));
+    EXPECT_FALSE(lease.next_write(at_ms(3'499)));
+    EXPECT_TRUE(lease.next_write(at_ms(3'500)));
+}
+
 // Guards against a holder that does not use its lease because the answer to its
 // write was lost. The write is recognized when the lease is read.
 TEST(CoordinatorLease, RecognizesAWriteWhoseAnswerWasLost)
