Do not apply a report of a cut-off coordinator to its successor

Each takeover starts the wait for the grants of earlier coordinators again, and the whole fleet connects to another instance.

Cause: an instance that hears that the coordinator is cut off reads the lease before it takes it over. A newer revision in that read did not take back the report, because it may have been written before it. But if the read shows another holder, the report is about a coordinator that is already replaced. The report is dropped then.

Test: CoordinatorLease.IsNotTakenFromTheSuccessorOfAHolderThatWasCutOff, which failed before.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -95,7 +95,8 @@
     void on_coordinator_answered(time_point now);
     // To be called when the coordinator answered this process and reported that
     // the store has not answered it for longer than a renewal takes. Returns
-    // whether the lease has to be read now. Unless that read shows a renewal, the lease is taken over after `takeover_jitter`.
+    // whether the lease has to be read now. Unless that read shows a renewal or
+    // another holder, the lease is taken over after `takeover_jitter`.
     bool on_coordinator_cut_off(time_point now);
 
     // Returns the write to make now: a renewal, or a takeover if the
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -51,10 +51,12 @@
         return;
     const bool changed = !has_read_ || store_revision != revision_;
     const bool was_holder = is_holder();
+    const bool same_run =
+        record && record_ && record->run_id == record_->run_id;
     // A revision seen by the read that was requested after the report may have
     // been written before it, so it does not show that the holder reaches the
-    // store now.
-    if (changed && !read_due_)
+    // store now. The report says nothing about another holder.
+    if (changed && (!read_due_ || !same_run))
         coordinator_cut_off_ = false;
     read_due_ = false;
     if (changed)
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -124,6 +124,21 @@
     EXPECT_FALSE(lease.next_write(at_ms(1'500)).has_value());
 }
 
+// Guards against a second takeover right after the first: the read that
+// follows the report already shows the successor of the reported coordinator.
+TEST(CoordinatorLease, IsNotTakenFromTheSuccessorOfAHolderThatWasCutOff)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease.on_read(record_of("a", 1), 4, at_ms(0));
+    lease.on_coordinator_cut_off(at_ms(1'000));
+    lease_record successor = record_of("c", 3);
+    successor.term = 1;
+    lease.on_read(successor, 5, at_ms(1'010));
+    const time_point silent_until = at_ms(1'010) + lease_options{}.takeover;
+    EXPECT_FALSE(lease.next_write(silent_until - milliseconds(1)));
+    EXPECT_TRUE(lease.next_write(silent_until));
+}
+
 // Guards against a large fleet that is coordinated by a small instance: the
 // delay that leaves the lease to others begins with the report.
 TEST(CoordinatorLease, LeavesTheLeaseOfAHolderThatWasCutOffToOthersFirst)
