Ask an earlier coordinator to stop until it answers

Cause: a new coordinator asks the earlier one once to stop granting. Three of the requests failed after 300 ms with 'connect timeout', although those coordinators ran for 2 s more: the whole fleet had left them at that moment. The successor then has to wait for the earlier lease of 8 s and its grants of 3.2 s before the keys of lost servers get new owners. It asks again every 250 ms now, until it has an answer or that lease is over.

Test: fleet_role_test.AsksTheEarlierCoordinatorToStopUntilItAnswers, which failed on the code before (1 request, expected 3).

--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -16,6 +16,9 @@
 constexpr const char* lease_name = "coordinator";
 // A coordinator that does not answer within this time may be gone.
 constexpr milliseconds stop_timeout{800};
+// Delay before the earlier coordinator is asked again. The first request often
+// fails, because a coordinator that is replaced is busy or hard to reach.
+constexpr milliseconds stop_retry{250};
 
 } // namespace
 
@@ -122,10 +125,12 @@
 // Tells the earlier coordinator to stop granting. If it is cut off from the
 // store, it does not know that its lease was taken, and this process would have
 // to wait until the last of its grants has expired.
-void fleet_role::stop_predecessor()
+void fleet_role::stop_predecessor(time_point now)
 {
-    if (!lease_.predecessor())
+    if (!lease_.predecessor() || stop_request_open_ ||
+        now < next_stop_request_ || now >= lease_.earlier_leases_end())
         return;
+    stop_request_open_ = true;
     http_client_options options;
     options.max_connections = 1;
     options.connect_timeout = milliseconds(300);
@@ -138,18 +143,28 @@
         {"term", lease_.record()->term}}
                        .dump();
     predecessor_client_->send(std::move(request), stop_timeout,
-        [this, term = lease_.record()->term](const http_result& result) {
-            const time_point now = clock_();
-            const bool stopped =
-                result.response && result.response->status == 200;
-            log_event(log_level::info, "asked the earlier coordinator to stop",
-                {{"term", term}, {"stopped", stopped},
-                    {log_key::error, result.message}});
-            if (!stopped || !controller_ || lease_.record()->term != term)
-                return;
-            lease_.on_predecessor_stopped(now);
-            controller_->on_predecessor_stopped(lease_.earlier_leases_end());
-        });
+        [this, term = lease_.record()->term](
+            const http_result& result) { on_stop_reply(term, result); });
+}
+
+void fleet_role::on_stop_reply(std::uint64_t term, const http_result& result)
+{
+    const time_point now = clock_();
+    stop_request_open_ = false;
+    next_stop_request_ = now + stop_retry;
+    const bool stopped = result.response && result.response->status == 200;
+    log_event(log_level::info, "asked the earlier coordinator to stop",
+        {{"term", term}, {"stopped", stopped},
+            {log_key::error, result.message}});
+    if (stopped && lease_.is_holder() && lease_.record()->term == term)
+        on_predecessor_stopped(now);
+}
+
+void fleet_role::on_predecessor_stopped(time_point now)
+{
+    lease_.on_predecessor_stopped(now);
+    if (controller_)
+        controller_->on_predecessor_stopped(lease_.earlier_leases_end());
 }
 
 void fleet_role::on_stop_request(http_exchange& exchange)
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -221,8 +221,9 @@
         // Until all instances poll this one, the members of the coordinator
         // before remain, so that gates do not move for nothing.
         server_.assume_members(view_.members(), settings_.instance, now);
-        stop_predecessor();
+        next_stop_request_ = now;
     }
+    stop_predecessor(now);
     if (now >= next_report_) {
         next_report_ = now + local_report_interval;
         controller_->on_report(take_load_counts_());
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -70,7 +70,11 @@
     void publish_members(time_point now);
     // Reports the keys without an owner, by cause.
     void report_grant_progress(time_point now);
-    void stop_predecessor();
+    // Asks the predecessor to stop granting, unless it is known to have stopped
+    // or to be unable to grant.
+    void stop_predecessor(time_point now);
+    void on_stop_reply(std::uint64_t term, const http_result& result);
+    void on_predecessor_stopped(time_point now);
     void on_stop_request(http_exchange& exchange);
 
     const route_settings& settings_;
@@ -87,6 +91,8 @@
     feed_client client_;
     // Connection to the coordinator that held the lease before this process.
     std::unique_ptr<http_client> predecessor_client_;
+    bool stop_request_open_ = false;
+    time_point next_stop_request_;
     std::unique_ptr<ownership_controller> controller_;
     bool lease_read_open_ = false;
     bool leaving_ = false;
--- /dev/null
+++ b/test/router/fleet_role_test.cpp
@@ -0,0 +1,86 @@
+#include "net/loop.hpp"
+#include "router/fake_platform.hpp"
+
+#include "router/fleet_role.hpp"
+
+#include <gtest/gtest.h>
+
+namespace filberthub {
+namespace {
+
+using test::run_until;
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// An instance that takes the lease from a silent coordinator, whose address is
+// that of `earlier_coordinator_`.
+class fleet_role_test : public testing::Test
+{
+protected:
+    fleet_role_test()
+        : earlier_coordinator_(
+              {}, [this](const std::shared_ptr<http_exchange>& exchange) {
+                  on_request(exchange);
+              })
+    {
+        earlier_coordinator_.listen({"127.0.0.1", 0});
+        settings_.instance = instance_id("i-2");
+        settings_.peers = {"127.0.0.1", 1};
+        settings_.store = store_.address();
+        lease_record record;
+        record.holder = instance_id("i-1");
+        record.address = earlier_coordinator_.address();
+        record.term = 3;
+        record.run_id = 11;
+        store_.put(
+            "filberthub-lease", "coordinator", json::parse(record.text()));
+    }
+
+    // Answers messages of the successor, the first ones with a failure.
+    void on_request(const std::shared_ptr<http_exchange>& exchange)
+    {
+        http_response response;
+        if (exchange->request().target != stop_path) {
+            response.status = 409;
+        } else if (++stop_requests_ <= failing_requests_) {
+            response.status = 503;
+        }
+        exchange->respond(std::move(response));
+    }
+
+    bool run_ticks_until(
+        fleet_role& role, const std::function<bool()>& condition)
+    {
+        return run_until([&] {
+            role.tick(now());
+            return condition();
+        });
+    }
+
+    test::fake_store store_;
+    http_listener earlier_coordinator_;
+    route_settings settings_;
+    int stop_requests_ = 0;
+    int failing_requests_ = 0;
+};
+
+// Guards against keys of lost servers that wait for the whole lease of an
+// earlier coordinator, because one request to it failed.
+TEST_F(fleet_role_test, AsksTheEarlierCoordinatorToStopUntilItAnswers)
+{
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, now);
+    failing_requests_ = 2;
+    ASSERT_TRUE(run_ticks_until(role, [&] { return role.coordinates(now()); }));
+    EXPECT_TRUE(run_ticks_until(
+        role, [&] { return !role.lease().predecessor().has_value(); }));
+    EXPECT_EQ(stop_requests_, 3);
+}
+
+} // namespace
+} // namespace filberthub
