Tell a successor when the leases of earlier coordinators end

Cause: a coordinator writes with its takeover that earlier ones may grant for 8 s. What it learns right afterwards, that the predecessor has stopped, is written with its next renewal. The answer to its request to stop tells the time that is left now.

Tests: CoordinatorLease.UsesWhatThePredecessorKnowsOfEarlierLeases, fleet_role_test.TellsItsSuccessorWhenEarlierLeasesEnd (new interface; on the code before, the answer has no body and the lease ends at 8 s).

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -143,8 +143,11 @@
     {
         return predecessor_;
     }
-    // The predecessor confirmed that it has stopped granting.
-    void on_predecessor_stopped(time_point now);
+    // The predecessor confirmed that it has stopped granting. Coordinators
+    // before it may grant until `leases_before_it_end`, if it knows that time;
+    // the lease object may tell a later one.
+    void on_predecessor_stopped(time_point now,
+        const std::optional<time_point>& leases_before_it_end = std::nullopt);
     // The holder of a later term asked this process to stop granting.
     void on_superseded(std::uint64_t term);
 
--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -3,6 +3,8 @@
 
 #include "router/fleet_role.hpp"
 
+#include "router/peer_messages.hpp"
+
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/log.hpp>
@@ -19,6 +21,23 @@
 // Delay before the earlier coordinator is asked again. The first request often
 // fails, because a coordinator that is replaced is busy or hard to reach.
 constexpr milliseconds stop_retry{250};
+constexpr const char* earlier_grants_field = "earlier_grants_ms";
+
+// Returns when the leases before that of the stopped coordinator end, if it
+// knows.
+std::optional<time_point> decode_stop_reply(
+    const http_response& response, time_point now)
+{
+    try {
+        const json document =
+            parse_json(response.body, error_kind::bad_peer_message);
+        return now + read_milliseconds(document.at(earlier_grants_field));
+    } catch (const std::exception&) {
+        // A coordinator that has lost its lease, or of an earlier release, does
+        // not tell.
+        return std::nullopt;
+    }
+}
 
 } // namespace
 
@@ -157,12 +176,13 @@
         {{"term", term}, {"stopped", stopped},
             {log_key::error, result.message}});
     if (stopped && lease_.is_holder() && lease_.record()->term == term)
-        on_predecessor_stopped(now);
+        on_predecessor_stopped(now, decode_stop_reply(*result.response, now));
 }
 
-void fleet_role::on_predecessor_stopped(time_point now)
+void fleet_role::on_predecessor_stopped(
+    time_point now, const std::optional<time_point>& leases_before_it_end)
 {
-    lease_.on_predecessor_stopped(now);
+    lease_.on_predecessor_stopped(now, leases_before_it_end);
     if (controller_)
         controller_->on_predecessor_stopped(lease_.earlier_leases_end());
 }
@@ -176,8 +196,19 @@
         const auto term = document.at("term").get<std::uint64_t>();
         // With a different run id, the message is for an earlier run of this
         // process, and this run has granted nothing.
-        if (document.at("run").get<std::uint64_t>() == self_.run_id)
+        if (document.at("run").get<std::uint64_t>() == self_.run_id) {
+            // While the record names this process, the time is that of its own
+            // lease.
+            if (lease_.is_holder()) {
+                const auto left = std::chrono::ceil<milliseconds>(
+                    lease_.earlier_leases_end() - clock_());
+                response.body =
+                    json{{earlier_grants_field,
+                             std::max(milliseconds(0), left).count()}}
+                        .dump();
+            }
             lease_.on_superseded(term);
+        }
         log_event(log_level::info, "lease was taken by another coordinator",
             {{"term", term}});
         tick(clock_());
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -74,7 +74,8 @@
     // or to be unable to grant.
     void stop_predecessor(time_point now);
     void on_stop_reply(std::uint64_t term, const http_result& result);
-    void on_predecessor_stopped(time_point now);
+    void on_predecessor_stopped(
+        time_point now, const std::optional<time_point>& leases_before_it_end);
     void on_stop_request(http_exchange& exchange);
 
     const route_settings& settings_;
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -149,8 +149,13 @@
     return lease_write{revision_, next};
 }
 
-void coordinator_lease::on_predecessor_stopped(time_point now)
+void coordinator_lease::on_predecessor_stopped(
+    time_point now, const std::optional<time_point>& leases_before_it_end)
 {
+    if (leases_before_it_end) {
+        leases_before_predecessor_end_ =
+            std::min(leases_before_predecessor_end_, *leases_before_it_end);
+    }
     predecessor_.reset();
     earlier_leases_end_ = std::min(
         earlier_leases_end_, std::max(now, leases_before_predecessor_end_));
--- a/test/router/fleet_role_test.cpp
+++ b/test/router/fleet_role_test.cpp
@@ -82,5 +82,41 @@
     EXPECT_EQ(stop_requests_, 3);
 }
 
+// Guards against a successor that waits for leases that this coordinator knows
+// to be over.
+TEST_F(fleet_role_test, TellsItsSuccessorWhenEarlierLeasesEnd)
+{
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, now);
+    http_listener peers({}, [&role](std::shared_ptr<http_exchange> exchange) {
+        role.on_poll(std::move(exchange));
+    });
+    peers.listen({"127.0.0.1", 0});
+    ASSERT_TRUE(run_ticks_until(role, [&] {
+        return role.coordinates(now()) && !role.lease().predecessor();
+    }));
+    http_request request;
+    request.method = "POST";
+    request.target = stop_path;
+    request.body = json{{"run", role.lease().record()->run_id},
+        {"term",
+            role.lease().record()->term +
+                1}}.dump();
+    http_client successor(peers.address(), {});
+    std::optional<json> reply;
+    successor.send(
+        std::move(request), milliseconds(1'000), [&](http_result result) {
+            reply = result.response
+                        ? json::parse(result.response->body, nullptr, false)
+                        : json();
+        });
+    ASSERT_TRUE(run_until([&] { return reply.has_value(); }));
+    ASSERT_TRUE(reply->is_object());
+    EXPECT_EQ(reply->value("earlier_grants_ms", -1), 0);
+    EXPECT_FALSE(role.coordinates(now()));
+}
+
 } // namespace
 } // namespace filberthub
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -250,6 +250,20 @@
     EXPECT_EQ(third.earlier_leases_end(), at_ms(5'000));
 }
 
+// Guards against keys that wait for a lease that the predecessor knows to be
+// over: it was replaced before it could write that to the lease object.
+TEST(CoordinatorLease, UsesWhatThePredecessorKnowsOfEarlierLeases)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease_record other = record_of("a", 1);
+    other.earlier_grants_left = milliseconds(8'000);
+    lease.on_read(other, 4, at_ms(0));
+    lease.next_write(at_ms(2'000));
+    lease.on_written(5, at_ms(2'005));
+    lease.on_predecessor_stopped(at_ms(2'020), at_ms(1'900));
+    EXPECT_EQ(lease.earlier_leases_end(), at_ms(2'020));
+}
+
 // Guards against a holder that resumes granting after it has confirmed that it
 // stopped, because the answer to an earlier renewal arrives late.
 TEST(CoordinatorLease, IsNotResumedAfterATakeover)
