Leave keys with their owners while a new coordinator grants them anew

Cause: a new coordinator published that no key has an owner, and then each range again as its owner accepted it. But the servers hold the keys for up to 3 s longer, and a server that does not holds them refuses requests for them. The owners of the stored table are published at once now, except those whose keys move. As the grant of a range then changes nothing for callers, the owners are no longer encoded anew for each answer to a grant of the takeover.

Test: KeyGranter.LeavesKeysOfAnEarlierCoordinatorWithTheirOwners, which failed before (0 ranges, expected 1).

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -127,7 +127,8 @@
     void on_reply(command_number number, grant_reply reply,
         const std::string& handover, time_point now);
 
-    // Ranges whose owner has accepted them.
+    // Ranges whose owner has accepted them, or has had them from an earlier
+    // coordinator.
     std::vector<key_range> granted() const;
     // Changes whenever the result of `granted` may have changed.
     std::uint64_t granted_version() const
@@ -179,7 +180,8 @@
         command_number grant_in_flight;
         time_point next_send;
         bool accepted = false;
-        // Whether the owner had accepted all of these keys with lower tokens.
+        // Whether the owner had accepted all of these keys with lower tokens,
+        // as far as this coordinator knows.
         bool held_before = false;
         bool outdated = false;
     };
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -30,6 +30,9 @@
         state.granted_until = earlier_grants_end;
         state.unclear_until = earlier_grants_end;
         state.next_send = now;
+        // The owner probably holds the keys. If it does not, it refuses requests
+        // for them.
+        state.held_before = range.previous.empty();
         for (const previous_owner& earlier : range.previous) {
             earlier_holder holder;
             holder.server = earlier.server;
@@ -261,7 +264,7 @@
             state.current_token_unclear_until);
         if (command.server != state.range.owner)
             return;
-        if (!state.accepted)
+        if (!state.accepted && !state.held_before)
             ++granted_version_;
         state.accepted = true;
         return;
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -52,6 +52,29 @@
     EXPECT_FALSE(only_command(750).release);
 }
 
+// Guards against a takeover that makes all keys unavailable until each of them
+// is granted anew.
+TEST_F(KeyGranter, LeavesKeysOfAnEarlierCoordinatorWithTheirOwners)
+{
+    key_range moving = range_of(100, 199, "b", 2);
+    moving.previous.push_back({{backend_server_id("a"), 1}, fencing_token(1)});
+    granter_.take_over(
+        table_of({range_of(0, 99, "a", 1), moving}), at_ms(9'000), at_ms(0));
+    ASSERT_THAT(granter_.granted(), SizeIs(1));
+    EXPECT_EQ(granter_.granted().at(0).last, 99U);
+    EXPECT_FALSE(granter_.is_granted(fencing_token(1)));
+
+    // The grant changes nothing for callers, so that nothing is published.
+    const std::uint64_t version = granter_.granted_version();
+    for (const grant_command& command : granter_.due(at_ms(0))) {
+        if (!command.release)
+            granter_.on_reply(
+                command.number, grant_reply::accepted, "", at_ms(10));
+    }
+    EXPECT_TRUE(granter_.is_granted(fencing_token(1)));
+    EXPECT_EQ(granter_.granted_version(), version);
+}
+
 // Guards against keys without an owner whose cause the logs do not tell.
 TEST_F(KeyGranter, TellsWhyKeysAreNotGranted)
 {
