Compress replies of the feed and encode few of them after a takeover

Cause: the whole view of 809 servers is about 290 kB of text, 85 MB for 294 instances: 3.4 s on a link of 200 Mbit/s, 34 s on one of 20 Mbit/s, while another instance takes over after 2 s. And an instance that has watched the store by itself tells another version than its neighbours, so that the coordinator encodes a reply for each of them.

Change: a reply of 1 kB and more is compressed once for all polls that get it, if they accept it (release before: as it was), and polls after a takeover share at most four versions, none higher than their own; those that know nothing are not among them.

Ruled out: a tree of relays and pacing of the replies; both are more work, and the text compresses well.

Tests: large_feed_test.SendsTheWholeViewBeforeAnotherInstanceTakesOver and EncodesFewRepliesForManyDifferentVersions (both use the new header, without which replies are as before), FeedMessages.RefusesMalformedCompressedReplies.

--- a/src/router/feed_messages.cpp
+++ b/src/router/feed_messages.cpp
@@ -2,7 +2,47 @@
 
 #include "router/peer_messages.hpp"
 
+#include <QtCore/QByteArray>
+
+#include <algorithm>
+
 namespace filberthub {
+namespace {
+
+// Favors speed: the replies of a coordinator wait for it.
+constexpr int compression_level = 1;
+// Far above the view of the largest deployments.
+constexpr std::size_t max_reply_bytes = std::size_t{64} * 1024 * 1024;
+// Length of the size that precedes the compressed bytes.
+constexpr std::size_t size_prefix_bytes = 4;
+// Number of different versions for which replies are encoded at once.
+constexpr std::size_t max_shared_versions = 4;
+
+object_version oldest(const complete_versions& versions)
+{
+    object_version result{};
+    bool first = true;
+    for (const auto& [kind, version] : versions) {
+        result = first ? version : std::min(result, version);
+        first = false;
+    }
+    return result;
+}
+
+// Returns the kinds that both have, with the lower version.
+complete_versions lower_of(
+    const complete_versions& left, const complete_versions& right)
+{
+    complete_versions result;
+    for (const auto& [kind, version] : left) {
+        const auto found = right.find(kind);
+        if (found != right.end())
+            result.emplace(kind, std::min(version, found->second));
+    }
+    return result;
+}
+
+} // namespace
 
 json encode_counts(const load_counts& counts)
 {
@@ -68,6 +108,63 @@
     return result;
 }
 
+std::string compress_reply(const std::string& text)
+{
+    return qCompress(QByteArray::fromRawData(
+                         text.data(), static_cast<qsizetype>(text.size())),
+        compression_level)
+        .toStdString();
+}
+
+std::string reply_text(const http_response& response)
+{
+    const std::string& body = response.body;
+    if (response.headers.get("Content-Encoding") != reply_encoding)
+        return body;
+    std::size_t size = 0;
+    for (std::size_t index = 0;
+         index < std::min(body.size(), size_prefix_bytes); ++index)
+        size = size << 8U | static_cast<unsigned char>(body[index]);
+    if (body.size() < size_prefix_bytes || size > max_reply_bytes) {
+        throw error(error_kind::bad_peer_message,
+            "compressed reply of " + std::to_string(size) +
+                " bytes, expected at most " + std::to_string(max_reply_bytes));
+    }
+    const QByteArray text = qUncompress(QByteArray::fromRawData(
+        body.data(), static_cast<qsizetype>(body.size())));
+    if (text.isEmpty() || static_cast<std::size_t>(text.size()) != size) {
+        throw error(
+            error_kind::bad_peer_message, "compressed reply cannot be read");
+    }
+    return text.toStdString();
+}
+
+void share_versions(std::vector<complete_versions*> versions)
+{
+    std::stable_sort(versions.begin(), versions.end(),
+        [](const complete_versions* left, const complete_versions* right) {
+            return oldest(*left) < oldest(*right);
+        });
+    // Those without any version need the whole view, which the others must not
+    // get because of them.
+    const auto known = std::find_if(versions.begin(), versions.end(),
+        [](const complete_versions* item) { return !item->empty(); });
+    const auto count = static_cast<std::size_t>(versions.end() - known);
+    for (std::size_t group = 0; group < max_shared_versions; ++group) {
+        const auto begin = known + static_cast<std::ptrdiff_t>(
+                                       count * group / max_shared_versions);
+        const auto end = known + static_cast<std::ptrdiff_t>(
+                                     count * (group + 1) / max_shared_versions);
+        if (begin == end)
+            continue;
+        complete_versions shared = **begin;
+        for (auto item = begin; item != end; ++item)
+            shared = lower_of(shared, **item);
+        for (auto item = begin; item != end; ++item)
+            **item = shared;
+    }
+}
+
 complete_versions decode_complete(const json& document)
 {
     complete_versions result;
--- a/src/router/feed_messages.hpp
+++ b/src/router/feed_messages.hpp
@@ -28,6 +28,20 @@
 // Decodes the field "complete" of a poll or a reply.
 complete_versions decode_complete(const json& document);
 
+// Value of `Content-Encoding` of a compressed reply, and of `Accept-Encoding`
+// of a poll whose sender reads one.
+inline constexpr const char* reply_encoding = "x-filberthub-zlib";
+
+std::string compress_reply(const std::string& text);
+// Returns the text of a reply, which may be compressed.
+std::string reply_text(const http_response& response);
+
+// Gives the polls of instances that have followed other coordinators one of a
+// few versions instead of their own, none of which is higher. Each different
+// version costs the coordinator an encoded reply, and after a time without a
+// coordinator nearly each instance has another one.
+void share_versions(std::vector<complete_versions*> versions);
+
 } // namespace filberthub
 
 #endif
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr milliseconds retry_delay{250};
+// Smaller replies are not worth the work of compressing them.
+constexpr std::size_t min_compressed_bytes = 1'024;
 
 http_response text_response(int status, const std::string& body)
 {
@@ -125,22 +127,42 @@
 void feed_server::answer_if(
     std::uint64_t run_id, feed_age age, time_point now, const Condition& is_due)
 {
-    std::vector<open_poll> waiting;
-    waiting.swap(polls_);
+    const auto first_due = std::stable_partition(polls_.begin(), polls_.end(),
+        [&is_due](const open_poll& poll) { return !is_due(poll); });
+    std::vector<open_poll> due(std::make_move_iterator(first_due),
+        std::make_move_iterator(polls_.end()));
+    polls_.erase(first_due, polls_.end());
+    std::vector<complete_versions*> versions;
+    for (open_poll& poll : due) {
+        if (poll.after_change == 0)
+            versions.push_back(&poll.complete);
+    }
+    share_versions(std::move(versions));
     // Most instances have the same changes, so that one text serves them all.
-    std::map<std::pair<std::uint64_t, complete_versions>, std::string> replies;
-    for (open_poll& poll : waiting) {
-        if (!is_due(poll)) {
-            polls_.push_back(std::move(poll));
-            continue;
-        }
-        std::string& text = replies[{poll.after_change, poll.complete}];
-        if (text.empty())
-            text = encode_reply(poll, run_id, age, now);
-        poll.exchange->respond(text_response(200, text));
+    std::map<std::pair<std::uint64_t, complete_versions>, encoded_reply>
+        replies;
+    for (const open_poll& poll : due) {
+        encoded_reply& reply = replies[{poll.after_change, poll.complete}];
+        if (reply.text.empty())
+            reply.text = encode_reply(poll, run_id, age, now);
+        poll.exchange->respond(response_to(poll, reply));
     }
 }
 
+http_response feed_server::response_to(
+    const open_poll& poll, encoded_reply& reply)
+{
+    const auto accepted =
+        poll.exchange->request().headers.get("Accept-Encoding");
+    if (accepted != reply_encoding || reply.text.size() < min_compressed_bytes)
+        return text_response(200, reply.text);
+    if (reply.compressed.empty())
+        reply.compressed = compress_reply(reply.text);
+    http_response response = text_response(200, reply.compressed);
+    response.headers.set("Content-Encoding", reply_encoding);
+    return response;
+}
+
 void feed_server::refuse_all()
 {
     std::vector<open_poll> waiting;
@@ -217,6 +239,7 @@
     http_request request;
     request.method = "POST";
     request.target = feed_path;
+    request.headers.set("Accept-Encoding", reply_encoding);
     request.body = json{{"instance", self_.id.value()},
         {"address", to_string(self_.address)},
         {"processor_share", self_.processor_share}, {"leaving", leaving_},
@@ -243,7 +266,7 @@
     }
     milliseconds age{0};
     try {
-        age = apply(result.response->body, clock_());
+        age = apply(reply_text(*result.response), clock_());
     } catch (const std::exception& failure) {
         log_event(log_level::warn, "malformed reply from the coordinator",
             {{log_key::error, shorten(failure.what())}});
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -100,6 +100,16 @@
         time_point answer_by;
     };
 
+    // A reply for all polls that lack the same changes.
+    struct encoded_reply
+    {
+        std::string text;
+        // Empty until a poll needs it.
+        std::string compressed;
+    };
+
+    static http_response response_to(
+        const open_poll& poll, encoded_reply& reply);
     template <class Condition>
     void answer_if(std::uint64_t run_id, feed_age age, time_point now,
         const Condition& is_due);
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -1,5 +1,6 @@
 #include "net/loop.hpp"
 
+#include "router/feed_messages.hpp"
 #include "router/fleet_feed.hpp"
 #include "router/peer_messages.hpp"
 
@@ -158,6 +159,26 @@
     EXPECT_EQ(complete.at("server"), object_version(1));
 }
 
+// Guards against a faulty coordinator whose compressed reply ends the processes
+// that follow it or takes their memory.
+TEST(FeedMessages, RefusesMalformedCompressedReplies)
+{
+    const std::string text(5'000, 'a');
+    http_response response;
+    response.body = compress_reply(text);
+    response.headers.set("Content-Encoding", reply_encoding);
+    EXPECT_EQ(reply_text(response), text);
+    EXPECT_LT(response.body.size(), text.size());
+    const std::string good = response.body;
+    for (const std::string& odd :
+        {std::string(), std::string("\x7f"), std::string(8, '\xff'),
+            good.substr(0, good.size() / 2), std::string(4, '\0') + good,
+            std::string("\0\0\0\7", 4) + good.substr(4)}) {
+        response.body = odd;
+        EXPECT_THROW(reply_text(response), error) << odd.size();
+    }
+}
+
 // Guards against an instance of another release, or a faulty one, whose poll
 // ends the coordinator.
 TEST_F(feed_test, RefusesAPollWithoutAllFields)
--- a/test/router/fleet_timing_test.cpp
+++ b/test/router/fleet_timing_test.cpp
@@ -2,10 +2,13 @@
 
 #include "net/loop.hpp"
 
+#include "router/feed_messages.hpp"
 #include "router/fleet_feed.hpp"
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace filberthub {
 namespace {
 
@@ -66,6 +69,36 @@
         view_.update({"server/i-1", object_version(version), "null"}, now_);
     }
 
+    // Sends a poll of an instance that has followed another coordinator and has
+    // all servers up to a version, if there is one.
+    void poll_after_another_coordinator(
+        std::size_t number, std::optional<std::uint64_t> version)
+    {
+        json poll{{"instance", "i" + std::to_string(number)},
+            {"address", "127.0.0.1:1"}, {"processor_share", 0.1},
+            {"leaving", false}, {"run", 8}, {"after", 5},
+            {"counts",
+                {{"requests", json::object()}, {"paces", json::object()}}}};
+        if (version)
+            poll["complete"] = {{"server", *version}};
+        auto& client = clients_[number];
+        client = std::make_unique<http_client>(
+            listener_.address(), http_client_options{});
+        http_request request;
+        request.method = "POST";
+        request.target = feed_path;
+        request.headers.set("Accept-Encoding", reply_encoding);
+        request.body = poll.dump();
+        client->send(std::move(request), milliseconds(20'000),
+            [this](const http_result& result) {
+                if (!result.response || result.response->status != 200)
+                    return;
+                ++replies_;
+                bodies_.insert(result.response->body);
+                texts_.insert(reply_text(*result.response));
+            });
+    }
+
     // Sends a poll of an instance that has the changes up to `after`.
     void poll(std::size_t number, std::uint64_t after)
     {
@@ -97,8 +130,70 @@
     std::map<std::size_t, std::unique_ptr<http_client>> clients_;
     std::size_t polls_ = 0;
     std::size_t replies_ = 0;
+    // Different replies, as sent and as read.
+    std::set<std::string> bodies_;
+    std::set<std::string> texts_;
 };
 
+// Guards against a coordinator that cannot send the view to a large fleet
+// before it is replaced, as after a fresh start of all instances.
+TEST_F(large_feed_test, SendsTheWholeViewBeforeAnotherInstanceTakesOver)
+{
+    constexpr std::size_t instances = 295;
+    constexpr double link_bits_per_second = 200e6;
+    for (std::uint64_t number = 0; number < 809; ++number) {
+        const std::string unique = std::to_string(number * 7'919 % 100'003);
+        view_.update(
+            {"server/i-" + unique, object_version(number + 2),
+                json{{"Service", "selo45a"}, {"Zone", "se-mitt-a"},
+                    {"Address", "10.1.64." + unique + ":8500"},
+                    {"Version", "v1"}, {"Capacity", 2}, {"State", "ready"},
+                    {"WarmupLeftMs", 0}, {"Sequence", number},
+                    {"born", 1'779'735'006'026 + number * 97}}
+                    .dump()},
+            now_);
+    }
+    poll_after_another_coordinator(1, std::nullopt);
+    ASSERT_TRUE(run_until([&] { return polls_ == 1; }));
+    server_.flush(7, feed_age{}, now_);
+    ASSERT_TRUE(run_until([&] { return replies_ == 1; }));
+    const json reply = json::parse(*texts_.begin());
+    EXPECT_EQ(reply.at("facts").size(), 810U);
+    const double seconds = static_cast<double>(bodies_.begin()->size()) * 8 *
+                           instances / link_bits_per_second;
+    EXPECT_LT(seconds * 1'000,
+        static_cast<double>(fleet_timing(instances).takeover().count()));
+}
+
+// Guards against a reply that is encoded anew for each instance, because each
+// has watched the store by itself for a time.
+TEST_F(large_feed_test, EncodesFewRepliesForManyDifferentVersions)
+{
+    constexpr std::size_t instances = 200;
+    for (std::uint64_t version = 2; version < 300; ++version) {
+        view_.update({"server/i-" + std::to_string(version),
+                         object_version(version), "null"},
+            now_);
+    }
+    for (std::size_t number = 0; number < instances; ++number)
+        poll_after_another_coordinator(number, 50 + number);
+    poll_after_another_coordinator(instances, std::nullopt);
+    ASSERT_TRUE(run_until([&] { return polls_ == instances + 1; }));
+    server_.flush(7, feed_age{}, now_);
+    ASSERT_TRUE(run_until([&] { return replies_ == instances + 1; }));
+    EXPECT_LE(texts_.size(), 8U);
+    // An instance that lacks everything does not make others get everything.
+    std::size_t largest = 0;
+    std::size_t smallest = 300;
+    for (const std::string& text : texts_) {
+        const std::size_t count = json::parse(text).at("facts").size();
+        largest = std::max(largest, count);
+        smallest = std::min(smallest, count);
+    }
+    EXPECT_EQ(largest, 299U);
+    EXPECT_LE(smallest, 150U);
+}
+
 // Guards against instances that are regarded as gone while their polls wait.
 TEST_F(large_feed_test, KeepsMembersWhosePollsWait)
 {
