Publish no owners of a first table before they are granted

A first table of a service counted as the table of an earlier coordinator, so that its owners were published before they had been granted any keys, since the owners of an earlier table are left in place. No earlier coordinator can have granted keys without a table.

Test: KeyCoordinator.NamesNoOwnersOfAFirstTableBeforeTheyAreGranted, which failed before.

--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -115,11 +115,13 @@
 {
     if (!pending_)
         return;
+    // Without an earlier table no server has been granted any keys.
+    const bool has_predecessors = !active_ && !table_.ranges.empty();
     table_ = std::move(*pending_);
     pending_.reset();
     undecided_.clear();
     revision_ = store_revision;
-    if (active_)
+    if (!has_predecessors)
         granter_.adopt(table_, now);
     else
         granter_.take_over(table_, earlier_grants_end_, now);
--- a/test/routing/key_coordinator_test.cpp
+++ b/test/routing/key_coordinator_test.cpp
@@ -58,6 +58,15 @@
     EXPECT_EQ(plan_with("d", 5'000).base_revision, 2U);
 }
 
+// Guards against requests to servers that have not yet got their first keys.
+TEST_F(KeyCoordinator, NamesNoOwnersOfAFirstTableBeforeTheyAreGranted)
+{
+    EXPECT_TRUE(keys_.active());
+    EXPECT_EQ(keys_.table().ranges.size(), 1U);
+    EXPECT_TRUE(keys_.granter().granted().empty());
+    EXPECT_EQ(keys_.granter().due(at_ms(2'000)).size(), 1U);
+}
+
 // Guards against grants that follow the table of another coordinator.
 TEST_F(KeyCoordinator, DoesNotAdoptATableThatItHasNotWritten)
 {
