Handle the answers of servers to grants together

Cause: each answer to a command, also each failed connection, looked at all ranges and servers and encoded the owners of all keys, so that the work grew with the square of the number of ranges. Answers are gathered for 10 ms now.

Test: ownership_controller_test.HandlesAnswersThatArriveTogetherAtOnce, which failed before (500 published changes for 433 ranges, expected less than 216).

--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr milliseconds plan_interval{250};
+// Answers of servers are gathered for this time before the next commands follow
+// from them, because that work grows with the number of ranges.
+constexpr milliseconds answer_delay{10};
 constexpr milliseconds grant_timeout{400};
 // A server answers a release after the running requests for the keys have
 // ended.
@@ -56,6 +59,9 @@
           earlier_leases_end + key_granter_options{}.max_grant_duration()),
       clock_(std::move(clock))
 {
+    advance_timer_.setSingleShot(true);
+    QObject::connect(
+        &advance_timer_, &QTimer::timeout, [this] { advance(clock_()); });
     read_tables();
 }
 
@@ -273,11 +279,8 @@
             }
             service.keys.granter().on_reply(
                 command.number, reply, handover, now);
-            if (command.release ||
-                !service.keys.granter().is_granted(command.token))
-                advance(now);
-            else
-                publish(id, service, now);
+            if (!advance_timer_.isActive())
+                advance_timer_.start(answer_delay);
         },
         // A late second answer to a grant would pass for the answer to the
         // release, and its keys would have two owners.
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -106,6 +106,8 @@
     // Incarnations whose address was found to belong to another server.
     std::set<server_incarnation> lost_incarnations_;
     std::uint64_t publication_count_ = 0;
+    // Runs `advance` some time after an answer of a server.
+    QTimer advance_timer_;
 };
 
 } // namespace filberthub
--- a/test/router/ownership_controller_test.cpp
+++ b/test/router/ownership_controller_test.cpp
@@ -192,5 +192,48 @@
     EXPECT_TRUE(run_until_held(other, key_count / 4));
 }
 
+// Guards against a coordinator that does the work for all ranges with each
+// answer of a server, so that it stops answering a large fleet.
+TEST_F(ownership_controller_test, HandlesAnswersThatArriveTogetherAtOnce)
+{
+    constexpr std::size_t servers = 433;
+    std::vector<std::shared_ptr<http_exchange>> open;
+    http_listener slow({}, [&](const std::shared_ptr<http_exchange>& exchange) {
+        open.push_back(exchange);
+    });
+    slow.listen({"127.0.0.1", 0});
+    for (std::size_t number = 0; number < servers; ++number) {
+        put_server("i-" + std::to_string(number), number + 2, slow.address(),
+            number + 1);
+    }
+    ownership_controller controller = make_controller();
+    // As in a process, and not with each event.
+    time_point next_tick;
+    ASSERT_TRUE(run_until([&] {
+        if (now() >= next_tick) {
+            next_tick = now() + milliseconds(100);
+            controller.advance(now());
+        }
+        return open.size() >= servers;
+    }));
+    const std::uint64_t changes = view_.objects().last_change();
+    for (const auto& exchange : open)
+        exchange->respond(http_response{});
+    const auto granted = [&] {
+        for (const auto& [id, progress] : controller.grant_progress(now())) {
+            if (progress.keys.served == key_count)
+                return true;
+        }
+        return false;
+    };
+    ASSERT_TRUE(run_until(granted));
+    ASSERT_TRUE(run_until([&] {
+        return view_.owner_of(service_id("maps"), key_count - 1).has_value();
+    }));
+    // Each part of the owners is published a few times, not once for each
+    // range in it.
+    EXPECT_LT(view_.objects().last_change() - changes, servers / 2);
+}
+
 } // namespace
 } // namespace filberthub
