Do not give up servers for a moment of silence or a busy coordinator

Causes, both in how the silence of a server is counted: - Each command without an answer counted, and three are the limit. A server of a large service has two or three ranges, whose commands go out together, so that one lost moment of 400 ms made it lost. Commands within the retry delay count once now. - The event loop of the coordinator was delayed by up to 1.6 s; time-outs are then over before answers are read. Missing answers after such a delay count as unclear for the grants, but not against the server.

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -43,6 +43,9 @@
     outdated,
     // No valid answer; the command may still be carried out.
     unclear,
+    // The same, but this process was too late to tell whether the server has
+    // answered in time.
+    delayed,
     // The command was not sent, because no connection could be made.
     unsent
 };
@@ -143,7 +146,8 @@
     // earlier incarnation. Their ranges need new tokens. The value is the
     // owner, whose incarnation may be later than that in the table.
     std::map<fencing_token, server_incarnation> outdated() const;
-    // Number of unanswered commands to this server since its last answer.
+    // Number of times at which commands to this server were not answered, since
+    // its last answer. Several ranges at about the same time count once.
     unsigned unanswered(const server_incarnation& server) const;
 
 private:
@@ -186,6 +190,12 @@
         bool outdated = false;
     };
 
+    struct server_silence
+    {
+        unsigned times = 0;
+        time_point counted_at;
+    };
+
     struct open_command
     {
         bool release = false;
@@ -202,13 +212,14 @@
         std::vector<grant_command>& commands);
     void add_grant_command(range_state& state, time_point now,
         std::vector<grant_command>& commands);
+    void count_silence(const server_incarnation& server, time_point now);
     void on_grant_reply(range_state& state, const open_command& command,
         grant_reply reply, time_point now);
 
     key_granter_options options_;
     std::map<fencing_token, range_state> states_;
     std::map<command_number, open_command> open_commands_;
-    std::map<server_incarnation, unsigned> unanswered_;
+    std::map<server_incarnation, server_silence> unanswered_;
     command_number last_command_;
     std::uint64_t granted_version_ = 0;
 };
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -32,6 +32,10 @@
 // Position of the term in the version of an object with served key ranges.
 constexpr unsigned term_shift = 32;
 
+// A pause of this length between the ticks of the coordinator means that its
+// event loop was delayed: time-outs are over before answers are read.
+constexpr milliseconds max_tick_pause{250};
+
 bool answered_by_another(
     const http_response& response, const backend_server_id& expected)
 {
@@ -92,8 +96,18 @@
     }
 }
 
+// Records whether the event loop was delayed. To be called before the events of
+// a turn are handled.
+void ownership_controller::note_turn(time_point now)
+{
+    if (last_turn_ && now > *last_turn_ + max_tick_pause)
+        late_until_ = now + grant_timeout;
+    last_turn_ = now;
+}
+
 void ownership_controller::advance(time_point now)
 {
+    note_turn(now);
     if (!tables_read_) {
         if (!table_read_open_ && now >= next_table_read_)
             read_tables();
@@ -248,7 +262,10 @@
         [this, alive = alive_, id, command](http_result result) {
             if (!*alive)
                 return;
-            grant_reply reply = grant_reply::unclear;
+            const time_point now = clock_();
+            note_turn(now);
+            grant_reply reply =
+                now < late_until_ ? grant_reply::delayed : grant_reply::unclear;
             std::string handover;
             if (!result.response && !result.sent) {
                 reply = grant_reply::unsent;
@@ -269,7 +286,6 @@
                         {log_key::error, result.message}});
             }
             service_ownership& service = services_.at(id);
-            const time_point now = clock_();
             if (result.response &&
                 answered_by_another(*result.response, command.server.id)) {
                 // Two processes cannot share an address, so the expected server
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -83,6 +83,7 @@
         const service_id& id, service_ownership& service, time_point now);
     void publish_part(const service_id& id, std::size_t part,
         const std::string& text, time_point now);
+    void note_turn(time_point now);
     void replace_stale_incarnations(service_ownership& service);
     void on_connection_lost(const backend_server_id& id);
     http_client& client_of(const backend_server_id& id);
@@ -106,6 +107,9 @@
     // Incarnations whose address was found to belong to another server.
     std::set<server_incarnation> lost_incarnations_;
     std::uint64_t publication_count_ = 0;
+    std::optional<time_point> last_turn_;
+    // Until then, missing answers say nothing about their servers.
+    time_point late_until_;
     // Runs `advance` some time after an answer of a server.
     QTimer advance_timer_;
 };
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -30,8 +30,8 @@
         state.granted_until = earlier_grants_end;
         state.unclear_until = earlier_grants_end;
         state.next_send = now;
-        // The owner probably holds the keys. If it does not, it refuses requests
-        // for them.
+        // The owner probably holds the keys. If it does not, it refuses
+        // requests for them.
         state.held_before = range.previous.empty();
         for (const previous_owner& earlier : range.previous) {
             earlier_holder holder;
@@ -276,6 +276,7 @@
         state.next_send = std::min(state.next_send, now + options_.retry);
         return;
     case grant_reply::unclear:
+    case grant_reply::delayed:
         // The command may have been sent just before the caller gave up on it.
         state.current_token_unclear_until = now + options_.max_grant_duration();
         state.unclear_until =
@@ -287,6 +288,16 @@
     }
 }
 
+void key_granter::count_silence(
+    const server_incarnation& server, time_point now)
+{
+    server_silence& silence = unanswered_[server];
+    if (silence.times > 0 && now < silence.counted_at + options_.retry)
+        return;
+    ++silence.times;
+    silence.counted_at = now;
+}
+
 void key_granter::on_reply(command_number number, grant_reply reply,
     const std::string& handover, time_point now)
 {
@@ -295,12 +306,13 @@
         return;
     const open_command command = found->second;
     open_commands_.erase(found);
-    const bool answered =
-        reply != grant_reply::unclear && reply != grant_reply::unsent;
-    if (!answered)
-        ++unanswered_[command.server];
-    else
+    const bool unclear =
+        reply == grant_reply::unclear || reply == grant_reply::delayed;
+    const bool answered = !unclear && reply != grant_reply::unsent;
+    if (answered)
         unanswered_.erase(command.server);
+    else if (reply != grant_reply::delayed)
+        count_silence(command.server, now);
     for (auto& [token, state] : states_) {
         if (state.grant_in_flight == number)
             on_grant_reply(state, command, reply, now);
@@ -311,7 +323,7 @@
                     holder.granted_until = command.granted_until_before;
                 if (reply == grant_reply::accepted)
                     holder.granted_until = now + options_.max_grant_duration();
-                if (reply == grant_reply::unclear) {
+                if (unclear) {
                     holder.unclear_until = std::max(holder.unclear_until,
                         now + options_.max_grant_duration());
                     holder.granted_until =
@@ -383,7 +395,7 @@
 unsigned key_granter::unanswered(const server_incarnation& server) const
 {
     const auto found = unanswered_.find(server);
-    return found == unanswered_.end() ? 0 : found->second;
+    return found == unanswered_.end() ? 0 : found->second.times;
 }
 
 } // namespace filberthub
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -75,6 +75,43 @@
     EXPECT_EQ(granter_.granted_version(), version);
 }
 
+// Guards against a server that loses its keys because it was silent for a
+// moment in which commands for several of its ranges were under way.
+TEST_F(KeyGranter, CountsUnansweredCommandsOfTheSameTimeOnce)
+{
+    granter_.adopt(table_of({range_of(0, 99, "a", 2),
+                       range_of(100, 199, "a", 3), range_of(200, 299, "a", 4)}),
+        at_ms(0));
+    const server_incarnation server{backend_server_id("a"), 1};
+    unsigned rounds = 0;
+    for (std::int64_t ms = 0; ms < 2'000; ms += 50) {
+        const auto commands = granter_.due(at_ms(ms));
+        for (const grant_command& command : commands)
+            granter_.on_reply(
+                command.number, grant_reply::unclear, "", at_ms(ms));
+        if (commands.empty())
+            continue;
+        ++rounds;
+        EXPECT_EQ(granter_.unanswered(server), rounds) << "at " << ms << " ms";
+    }
+    EXPECT_GE(rounds, 3U);
+}
+
+// Guards against servers that lose their keys because the coordinator was too
+// busy to read their answers.
+TEST_F(KeyGranter, DoesNotBlameAServerForTheDelayOfTheCoordinator)
+{
+    const grant_command late = only_command(0);
+    granter_.on_reply(late.number, grant_reply::delayed, "", at_ms(2'000));
+    EXPECT_EQ(granter_.unanswered({backend_server_id("a"), 1}), 0U);
+    // The grant may have taken effect all the same.
+    granter_.adopt(moved_table(), at_ms(2'010));
+    for (std::int64_t ms = 2'010; ms < 5'000; ms += 300) {
+        for (const grant_command& command : granter_.due(at_ms(ms)))
+            EXPECT_TRUE(command.release) << "at " << ms << " ms";
+    }
+}
+
 // Guards against keys without an owner whose cause the logs do not tell.
 TEST_F(KeyGranter, TellsWhyKeysAreNotGranted)
 {
