Gather answers of servers for as long as their work takes

The fixed 10 ms cost a small deployment more than it saves there, and the work for 900 ranges is several milliseconds on a fast core. The time follows from the number of ranges, 30 us each: 0 to 1 ms with 30 ranges, 27 ms with 900, at most 50 ms. In fleet_timing with the other bounds that depend on size.

Test: FleetTiming.GathersAnswersForAsLongAsTheirWorkTakes (new function).

--- a/src/router/fleet_timing.hpp
+++ b/src/router/fleet_timing.hpp
@@ -72,7 +72,21 @@
             milliseconds(3), milliseconds(300));
     }
 
+    // Time for which the coordinator gathers answers of servers before the next
+    // commands follow from them, because that work grows with the number of key
+    // ranges.
+    static milliseconds answer_delay(std::size_t ranges)
+    {
+        return std::min(std::chrono::duration_cast<milliseconds>(
+                            answer_delay_per_range *
+                            static_cast<long>(std::min(ranges, max_ranges))),
+            max_answer_delay);
+    }
+
 private:
+    static constexpr std::chrono::microseconds answer_delay_per_range{30};
+    static constexpr milliseconds max_answer_delay{50};
+    static constexpr std::size_t max_ranges = 1'000'000;
     static constexpr milliseconds min_poll_wait{400};
     static constexpr milliseconds poll_wait_per_instance{4};
     static constexpr milliseconds max_poll_wait{1'500};
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -1,5 +1,7 @@
 #include "router/ownership_controller.hpp"
 
+#include "router/fleet_timing.hpp"
+
 #include <filberthub/telemetry/log.hpp>
 
 #include <platform/grant_api.hpp>
@@ -10,9 +12,6 @@
 namespace {
 
 constexpr milliseconds plan_interval{250};
-// Answers of servers are gathered for this time before the next commands follow
-// from them, because that work grows with the number of ranges.
-constexpr milliseconds answer_delay{10};
 constexpr milliseconds grant_timeout{400};
 // A server answers a release after the running requests for the keys have
 // ended.
@@ -295,8 +294,10 @@
             }
             service.keys.granter().on_reply(
                 command.number, reply, handover, now);
-            if (!advance_timer_.isActive())
-                advance_timer_.start(answer_delay);
+            if (!advance_timer_.isActive()) {
+                advance_timer_.start(fleet_timing::answer_delay(
+                    service.keys.table().ranges.size()));
+            }
         },
         // A late second answer to a grant would pass for the answer to the
         // release, and its keys would have two owners.
--- a/test/router/fleet_timing_test.cpp
+++ b/test/router/fleet_timing_test.cpp
@@ -39,6 +39,16 @@
 INSTANTIATE_TEST_SUITE_P(Sizes, fleet_size_test,
     testing::Values(1, 24, 128, 295, 480, 1'000, 1'000'000'000));
 
+// Guards against a coordinator whose work for the answers of servers grows with
+// the square of the number of key ranges, and against moves of keys that take
+// longer in small deployments.
+TEST(FleetTiming, GathersAnswersForAsLongAsTheirWorkTakes)
+{
+    EXPECT_LE(fleet_timing::answer_delay(30), milliseconds(1));
+    EXPECT_GE(fleet_timing::answer_delay(900), milliseconds(20));
+    EXPECT_LE(fleet_timing::answer_delay(1'000'000'000), milliseconds(50));
+}
+
 // Guards against bounds that a faulty announcement makes useless.
 TEST(FleetTiming, BoundsAnAnnouncedWait)
 {
