Do nothing for renewals of grants on the coordinator

Cause: since the answers of servers are gathered, each answer led to the work for all ranges, also that to a renewal, from which nothing follows. A coordinator with a small processor was busy with that.

No test: the work has no result that a test could see.

--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -294,7 +294,13 @@
             }
             service.keys.granter().on_reply(
                 command.number, reply, handover, now);
-            if (!advance_timer_.isActive()) {
+            // Nothing follows from a renewal.
+            const bool needs_work =
+                command.release ||
+                !service.keys.granter().is_granted(command.token) ||
+                service.published_version !=
+                    service.keys.granter().granted_version();
+            if (needs_work && !advance_timer_.isActive()) {
                 advance_timer_.start(fleet_timing::answer_delay(
                     service.keys.table().ranges.size()));
             }
