--- a/test/router/ownership_controller_test.cpp
+++ b/test/router/ownership_controller_test.cpp
@@ -235,5 +235,42 @@
     EXPECT_LT(view_.objects().last_change() - changes, servers / 2);
 }
 
+// Guards against a coordinator that plans, and looks at all ranges, after each
+// renewal, from which nothing follows: small processors fell behind.
+TEST_F(ownership_controller_test, DoesNothingForARenewal)
+{
+    bool holds_answers = false;
+    std::vector<std::shared_ptr<http_exchange>> open;
+    http_listener server(
+        {}, [&](const std::shared_ptr<http_exchange>& exchange) {
+            if (holds_answers)
+                open.push_back(exchange);
+            else
+                exchange->respond(http_response{});
+        });
+    server.listen({"127.0.0.1", 0});
+    put_server("i-1", 2, server.address(), 1);
+    ownership_controller controller = make_controller();
+    ASSERT_TRUE(run_until_owned(controller, "i-1"));
+    const time_point owned = now();
+    const auto wait_until = [&](milliseconds after) {
+        run_until([&] { return now() >= owned + after; });
+    };
+    wait_until(milliseconds(1'000));
+    holds_answers = true;
+    controller.advance(now());
+    ASSERT_TRUE(run_until([&] { return !open.empty(); }));
+    wait_until(milliseconds(1'300));
+    // The next plan will give keys to this server.
+    put_server("i-2", 3, server.address(), 1);
+    open.front()->respond(http_response{});
+    wait_until(milliseconds(1'600));
+    const auto progress = controller.grant_progress(now());
+    EXPECT_FALSE(progress.at(service_id("maps")).write_open);
+    EXPECT_GE(progress.at(service_id("maps")).table_age, milliseconds(1'500));
+    holds_answers = false;
+    EXPECT_TRUE(run_until_owned(controller, "i-2"));
+}
+
 } // namespace
 } // namespace filberthub
