Tell keys whose grants may have ended from keys that are served

The stages `unconfirmed` and `lapsed` are new in filberthub_keys{service,stage} and in the line `keys without an owner`.

Test: KeyGranter.TellsKeysWhoseGrantMayHaveEnded (new interface).

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -72,8 +72,13 @@
 // How many keys of the table are in which stage of their grant.
 struct key_coverage
 {
-    // The owner has accepted them, with the present or an earlier token.
+    // The owner has accepted them, and its grant has not ended.
     std::size_t served = 0;
+    // The owner had them from an earlier coordinator and has not answered this
+    // one yet.
+    std::size_t unconfirmed = 0;
+    // The owner has accepted them, but its grant may have ended since.
+    std::size_t lapsed = 0;
     // A previous owner may still hold them.
     std::size_t awaiting_release = 0;
     // The present token was refused, so that the table needs a new one.
@@ -85,7 +90,9 @@
 
     bool complete() const
     {
-        return awaiting_release + awaiting_token + awaiting_grant == 0;
+        return unconfirmed + lapsed + awaiting_release + awaiting_token +
+                   awaiting_grant ==
+               0;
     }
 };
 
@@ -139,7 +146,7 @@
         return granted_version_;
     }
     // Tells why keys of the table are not granted. Each key counts once.
-    key_coverage coverage() const;
+    key_coverage coverage(time_point now) const;
     // Whether the owner of the range with this token has accepted it.
     bool is_granted(fencing_token token) const;
     // Tokens that a server refused as outdated, or that it may have had in an
@@ -177,6 +184,9 @@
         std::string handover;
         // The owner holds none of the keys after this time.
         time_point granted_until;
+        // The owner has accepted all of the keys until this time at least;
+        // `time_point{}` if this coordinator does not know.
+        time_point confirmed_until;
         // A grant with this or a lower token may take effect until then.
         time_point unclear_until;
         // The same for grants with this token only.
@@ -203,6 +213,7 @@
         fencing_token token;
         // End of the owner's grant before this command.
         time_point granted_until_before;
+        time_point due_at;
     };
 
     range_state make_state(const key_range& range, time_point now) const;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -244,7 +244,8 @@
     for (const auto& [id, progress] : controller_->grant_progress(now)) {
         const key_coverage& keys = progress.keys;
         const std::pair<const char*, std::size_t> stages[] = {
-            {"served", keys.served},
+            {"served", keys.served}, {"unconfirmed", keys.unconfirmed},
+            {"lapsed", keys.lapsed},
             {"awaiting_release", keys.awaiting_release},
             {"awaiting_token", keys.awaiting_token},
             {"awaiting_grant", keys.awaiting_grant}};
@@ -260,6 +261,7 @@
             continue;
         log_event(log_level::info, "keys without an owner",
             {{log_key::service, id.value()}, {"served", keys.served},
+                {"unconfirmed", keys.unconfirmed}, {"lapsed", keys.lapsed},
                 {"awaiting_release", keys.awaiting_release},
                 {"awaiting_token", keys.awaiting_token},
                 {"awaiting_grant", keys.awaiting_grant},
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -351,7 +351,7 @@
     std::map<service_id, progress> result;
     for (const auto& [id, service] : services_) {
         progress state;
-        state.keys = service.keys.granter().coverage();
+        state.keys = service.keys.granter().coverage(now);
         state.table_age = std::chrono::duration_cast<milliseconds>(
             now - service.committed_at);
         state.write_open = service.keys.write_open();
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -106,6 +106,7 @@
     state.range = range;
     state.next_send = now;
     key_number held_keys = 0;
+    bool confirmed = true;
     for (const auto& [token, earlier] : states_) {
         if (earlier.range.first > range.last ||
             range.first > earlier.range.last)
@@ -115,9 +116,16 @@
             (earlier.accepted || earlier.held_before)) {
             held_keys += std::min(range.last, earlier.range.last) -
                          std::max(range.first, earlier.range.first) + 1;
+            confirmed = confirmed && earlier.confirmed_until != time_point{};
+            state.confirmed_until =
+                state.confirmed_until == time_point{}
+                    ? earlier.confirmed_until
+                    : std::min(state.confirmed_until, earlier.confirmed_until);
         }
     }
     state.held_before = held_keys == range.last - range.first + 1;
+    if (!state.held_before || !confirmed)
+        state.confirmed_until = {};
     return state;
 }
 
@@ -212,8 +220,8 @@
             continue;
         last_command_ = last_command_.next();
         holder.release_in_flight = last_command_;
-        open_commands_.emplace(
-            last_command_, open_command{true, holder.server, holder.token, {}});
+        open_commands_.emplace(last_command_,
+            open_command{true, holder.server, holder.token, {}, now});
         commands.push_back({last_command_, true, holder.server, holder.first,
             holder.last, holder.token, milliseconds(0), {}});
     }
@@ -230,7 +238,7 @@
     state.next_send = now + options_.renewal;
     open_commands_.emplace(
         last_command_, open_command{false, state.range.owner, state.range.token,
-                           state.granted_until});
+                           state.granted_until, now});
     state.granted_until =
         std::max(state.granted_until, now + options_.max_grant_duration());
     commands.push_back(
@@ -267,6 +275,7 @@
         if (!state.accepted && !state.held_before)
             ++granted_version_;
         state.accepted = true;
+        state.confirmed_until = command.due_at + options_.grant_duration;
         return;
     case grant_reply::outdated:
         state.outdated = true;
@@ -358,12 +367,17 @@
     return result;
 }
 
-key_coverage key_granter::coverage() const
+key_coverage key_granter::coverage(time_point now) const
 {
     key_coverage result;
     for (const auto& [token, state] : states_) {
         const std::size_t keys = state.range.last - state.range.first + 1;
-        if (state.accepted || state.held_before)
+        const bool published = state.accepted || state.held_before;
+        if (published && state.confirmed_until == time_point{})
+            result.unconfirmed += keys;
+        else if (published && now >= state.confirmed_until)
+            result.lapsed += keys;
+        else if (published)
             result.served += keys;
         else if (!state.earlier_holders.empty())
             result.awaiting_release += keys;
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -115,20 +115,35 @@
 // Guards against keys without an owner whose cause the logs do not tell.
 TEST_F(KeyGranter, TellsWhyKeysAreNotGranted)
 {
-    EXPECT_EQ(granter_.coverage().awaiting_grant, key_count);
+    EXPECT_EQ(granter_.coverage(at_ms(0)).awaiting_grant, key_count);
     grant_first();
-    EXPECT_EQ(granter_.coverage().served, key_count);
-    EXPECT_TRUE(granter_.coverage().complete());
+    EXPECT_EQ(granter_.coverage(at_ms(9)).served, key_count);
+    EXPECT_TRUE(granter_.coverage(at_ms(9)).complete());
 
     granter_.adopt(moved_table(), at_ms(10));
-    EXPECT_EQ(granter_.coverage().awaiting_release, key_count);
+    EXPECT_EQ(granter_.coverage(at_ms(10)).awaiting_release, key_count);
     const grant_command release = only_command(10);
-    EXPECT_EQ(granter_.coverage().open_commands, 1U);
+    EXPECT_EQ(granter_.coverage(at_ms(10)).open_commands, 1U);
     granter_.on_reply(release.number, grant_reply::accepted, "", at_ms(20));
     const grant_command grant = only_command(20);
     granter_.on_reply(grant.number, grant_reply::outdated, "", at_ms(30));
-    EXPECT_EQ(granter_.coverage().awaiting_token, key_count);
-    EXPECT_FALSE(granter_.coverage().complete());
+    EXPECT_EQ(granter_.coverage(at_ms(30)).awaiting_token, key_count);
+    EXPECT_FALSE(granter_.coverage(at_ms(30)).complete());
+}
+
+// Guards against keys that the logs count as served although their servers
+// refuse all requests, because no coordinator has renewed the grants.
+TEST_F(KeyGranter, TellsKeysWhoseGrantMayHaveEnded)
+{
+    const key_table table = table_of({range_of(0, key_count - 1, "a", 1)});
+    granter_.take_over(table, at_ms(9'000), at_ms(0));
+    EXPECT_EQ(granter_.coverage(at_ms(0)).unconfirmed, key_count);
+    EXPECT_FALSE(granter_.coverage(at_ms(0)).complete());
+    grant_first();
+    const auto duration = key_granter_options{}.grant_duration.count();
+    EXPECT_EQ(granter_.coverage(at_ms(duration - 1)).served, key_count);
+    EXPECT_EQ(granter_.coverage(at_ms(duration)).lapsed, key_count);
+    EXPECT_FALSE(granter_.coverage(at_ms(duration)).complete());
 }
 
 // Guards against a server that restarted under its id and gets its keys with
