Replace a lost coordinator before the grants of keys end

Cause: the next coordinator took the lease at 6.92 s, and a grant lasts 3 s. The time to replace it follows from the size of the fleet: with 295 instances a poll fails 1.78 s after it was sent, and the first read of the lease then counted as a renewal, so that another 1.98 s passed. The comment of the grant duration states that it must exceed this time; nothing kept it.

Change: the coordinator names three standbys with a large share of a processor, whose polls it answers within 0.3 s and who take over in this order, 0.2 s apart. An answer and a renewal are counted apart: a known holder is replaced after the time without an answer and 1 s without a renewal, counted from the first read at the earliest. A new holder still has the whole time to answer.

Ruled out: longer grants, as keys of lost servers wait for their end; a watch of the lease by all standbys, which costs a call of the store for each renewal.

Tests: fleet_role_test.ReplacesALostCoordinatorBeforeItsGrantsEnd failed before (4,030 ms, expected less than 3,000); CoordinatorLease.IsTakenSoonFromAKnown- HolderThatStopsAnswering, FleetTiming.ReplacesALostCoordinatorBeforeItsGrants- End, large_feed_test.AnswersStandbysSoon, Standbys.* (new interface).

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -49,9 +49,13 @@
     milliseconds renewal{600};
     // Delay after a write that failed or was not answered.
     milliseconds retry{300};
-    // Time without a renewal or an answer from the coordinator after which
-    // another process takes over. Must exceed the duration of a renewal.
+    // Time without an answer from the coordinator after which another process
+    // takes over, if there was no renewal for `renewal_silence` either.
     milliseconds takeover{1'200};
+    // Must exceed the time between renewals. Counts from the first read of the
+    // lease at the earliest, as a process that follows the coordinator does not
+    // see renewals before.
+    milliseconds renewal_silence{1'000};
     // Added to `takeover`; differs per process, so that not all processes try
     // to take over at once.
     milliseconds takeover_jitter{0};
@@ -161,6 +165,7 @@
 
 private:
     void confirm(time_point now);
+    time_point takeover_time(bool unheld, bool cut_off) const;
 
     lease_record self_;
     lease_options options_;
@@ -190,9 +195,11 @@
     // Leases of earlier terms than this one are void.
     std::uint64_t superseded_by_ = 0;
     time_point retry_at_;
-    // Last answer or renewal of the coordinator, or when its absence was
-    // first observed.
-    time_point last_heard_;
+    // Last answer of the coordinator, or when it was first read that this one
+    // holds the lease.
+    time_point last_answered_;
+    // When a change of the lease by another process was last read.
+    time_point last_renewed_;
     // When the last confirmed write of this process was sent.
     std::optional<time_point> confirmed_at_;
 };
--- a/src/router/feed_messages.cpp
+++ b/src/router/feed_messages.cpp
@@ -176,4 +176,15 @@
     return result;
 }
 
+std::vector<instance_id> decode_standbys(const json& document)
+{
+    std::vector<instance_id> result;
+    // A coordinator of an earlier release does not send them.
+    if (!document.contains("standbys"))
+        return result;
+    for (const json& id : document.at("standbys"))
+        result.emplace_back(id.get<std::string>());
+    return result;
+}
+
 } // namespace filberthub
--- a/src/router/feed_messages.hpp
+++ b/src/router/feed_messages.hpp
@@ -28,6 +28,10 @@
 // Decodes the field "complete" of a poll or a reply.
 complete_versions decode_complete(const json& document);
 
+// Decodes the field "standbys" of a reply, in the order in which they take
+// over.
+std::vector<instance_id> decode_standbys(const json& document);
+
 // Value of `Content-Encoding` of a compressed reply, and of `Accept-Encoding`
 // of a poll whose sender reads one.
 inline constexpr const char* reply_encoding = "x-filberthub-zlib";
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -5,6 +5,7 @@
 
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/base/json_text.hpp>
+#include <filberthub/routing/standbys.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
@@ -51,6 +52,8 @@
             document.at("leaving").get<bool>(), now};
         const load_counts counts = decode_counts(document.at("counts"));
         open_poll poll;
+        // An instance of an earlier release is never a standby.
+        const bool is_standby = document.value("standby", false);
         // Change numbers of another process do not apply to this one.
         if (document.at("run").get<std::uint64_t>() == run_id)
             poll.after_change = document.at("after").get<std::uint64_t>();
@@ -59,7 +62,8 @@
         members_[sender] = member;
         on_report_(sender, counts);
         poll.exchange = std::move(exchange);
-        poll.answer_by = now + timing().poll_wait();
+        poll.answer_by =
+            now + (is_standby ? fleet_timing::standby() : timing()).poll_wait();
         // Not answered at once: a series of changes would become a series of
         // replies to each instance, and all instances poll a new coordinator
         // for the whole view at the same time.
@@ -84,8 +88,12 @@
             object.value ? json(*object.value) : json(nullptr),
             view_.max_change_age(object.key, now).count()});
     }
+    json standby_ids = json::array();
+    for (const instance_id& id : standbys())
+        standby_ids.push_back(id.value());
     return json{{"run", run_id}, {"change", known.last_change()},
-        {"facts", objects}, {"complete", encode_complete(known.complete())},
+        {"standbys", standby_ids}, {"facts", objects},
+        {"complete", encode_complete(known.complete())},
         {"fleet", view_.fleet_size()},
         {"hold_ms", timing().poll_wait().count()},
         {"store_age_ms", age.store.count()}, {"view_age_ms", age.view.count()}}
@@ -191,6 +199,14 @@
     return result;
 }
 
+std::vector<instance_id> feed_server::standbys() const
+{
+    std::vector<standby_candidate> candidates;
+    for (const live_instance& member : members())
+        candidates.push_back({member.id, member.processor_share});
+    return choose_standbys(std::move(candidates));
+}
+
 feed_client::feed_client(live_instance self, deployment_view& view,
     std::function<load_counts()> take_load_counts,
     std::function<time_point()> clock)
@@ -212,6 +228,7 @@
         return;
     coordinator_ = coordinator;
     answering_ = false;
+    standby_rank_.reset();
     poll_timer_.stop();
     client_.reset();
     if (!coordinator)
@@ -243,11 +260,14 @@
     request.body = json{{"instance", self_.id.value()},
         {"address", to_string(self_.address)},
         {"processor_share", self_.processor_share}, {"leaving", leaving_},
-        {"run", run_id_}, {"after", last_change_},
+        {"standby", standby_rank_.has_value()}, {"run", run_id_},
+        {"after", last_change_},
         {"complete", encode_complete(view_.objects().complete())},
         {"counts", encode_counts(take_load_counts_())}}
                        .dump();
-    client_->send(std::move(request), timing_.poll_timeout(),
+    const fleet_timing timing =
+        standby_rank_ ? fleet_timing::standby() : timing_;
+    client_->send(std::move(request), timing.poll_timeout(),
         [this](http_result result) { on_reply(std::move(result)); });
 }
 
@@ -278,6 +298,20 @@
         on_answered_(age);
 }
 
+void feed_client::set_standbys(const std::vector<instance_id>& standbys)
+{
+    const auto found = std::find(standbys.begin(), standbys.end(), self_.id);
+    const auto rank = static_cast<std::size_t>(found - standbys.begin());
+    const bool is_standby = found != standbys.end();
+    if (is_standby != standby_rank_.has_value()) {
+        log_event(log_level::info,
+            is_standby ? "standby of the coordinator"
+                       : "no longer a standby of the coordinator",
+            {{"rank", is_standby ? rank : *standby_rank_}});
+    }
+    standby_rank_ = is_standby ? std::optional(rank) : std::nullopt;
+}
+
 milliseconds feed_client::apply(const std::string& body, time_point now)
 {
     const json document = parse_json(body, error_kind::bad_peer_message);
@@ -287,6 +321,7 @@
     const std::vector<received_change> changes =
         decode_changes(document.at("facts"));
     const complete_versions complete = decode_complete(document);
+    const std::vector<instance_id> standbys = decode_standbys(document);
     view_.update_together([&] {
         for (const received_change& change : changes) {
             const time_point changed_since = now - change.age;
@@ -303,6 +338,7 @@
     last_change_ = document.at("change").get<std::uint64_t>();
     view_.set_fleet_size(document.at("fleet").get<std::size_t>(), now);
     timing_ = fleet_timing(read_milliseconds(document.at("hold_ms")));
+    set_standbys(standbys);
     view_complete_until_ = now - read_milliseconds(document.at("view_age_ms"));
     complete_until_ = std::max(complete_until_, *view_complete_until_);
     return read_milliseconds(document.at("store_age_ms"));
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -86,6 +86,9 @@
     // Returns the instances that have polled and are not leaving, without this
     // one.
     std::vector<live_instance> members() const;
+    // Returns the members that watch this process closely, in the order in
+    // which they would replace it.
+    std::vector<instance_id> standbys() const;
 
 private:
     // A poll that is not answered yet.
@@ -163,6 +166,12 @@
     {
         return timing_;
     }
+    // The position of this instance among the standbys of the coordinator that
+    // it follows, or nothing.
+    std::optional<std::size_t> standby_rank() const
+    {
+        return standby_rank_;
+    }
 
     // Returns the time up to which a coordinator has delivered all changes.
     time_point complete_until() const
@@ -186,6 +195,7 @@
 private:
     void poll();
     void on_reply(http_result result);
+    void set_standbys(const std::vector<instance_id>& standbys);
     // Returns the time since the store answered the coordinator.
     milliseconds apply(const std::string& body, time_point now);
 
@@ -204,6 +214,7 @@
     // Identifies the coordinator process that counted `last_change_`.
     std::uint64_t run_id_ = 0;
     fleet_timing timing_{std::size_t{1}};
+    std::optional<std::size_t> standby_rank_;
     bool answering_ = false;
     // Time up to which the view of the coordinator was complete at its last
     // reply.
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -185,12 +185,7 @@
 
 void fleet_role::tick(time_point now)
 {
-    lease_.set_takeover(client_.timing().takeover());
-    lease_.set_takeover_jitter(
-        takeover_jitter_ +
-        (is_small(settings_.processor_share, view_.largest_processor_share())
-                ? small_processor_delay
-                : milliseconds(0)));
+    set_takeover_times();
     renew(now);
     if (lease_.is_holder() && !leaving_)
         coordinate(now);
@@ -199,6 +194,21 @@
     view_.apply_deferred_removals(now);
 }
 
+void fleet_role::set_takeover_times()
+{
+    if (const auto rank = client_.standby_rank()) {
+        lease_.set_takeover(fleet_timing::standby().takeover());
+        lease_.set_takeover_jitter(fleet_timing::standby_delay(*rank));
+        return;
+    }
+    lease_.set_takeover(client_.timing().takeover());
+    lease_.set_takeover_jitter(
+        takeover_jitter_ +
+        (is_small(settings_.processor_share, view_.largest_processor_share())
+                ? small_processor_delay
+                : milliseconds(0)));
+}
+
 void fleet_role::coordinate(time_point now)
 {
     client_.follow(std::nullopt);
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -59,6 +59,7 @@
     void coordinate(time_point now);
     void follow(time_point now);
     void renew(time_point now);
+    void set_takeover_times();
     void tick_soon();
     void flush_soon();
     void write_lease(const lease_write& write);
--- a/src/router/fleet_timing.hpp
+++ b/src/router/fleet_timing.hpp
@@ -44,18 +44,18 @@
     // How long an instance waits for the answer to its poll.
     milliseconds poll_timeout() const
     {
-        return poll_wait_ + milliseconds(600);
+        return poll_wait_ + reply_time_;
     }
     // An instance that has not polled for this time is regarded as gone.
     milliseconds member_timeout() const
     {
         return poll_wait_ + milliseconds(1'100);
     }
-    // Time without a renewal of the lease or an answer of the coordinator after
-    // which another instance takes over.
+    // Time without an answer of the coordinator after which another instance
+    // takes over, if the lease is not renewed either.
     milliseconds takeover() const
     {
-        return poll_wait_ + milliseconds(800);
+        return poll_timeout() + milliseconds(200);
     }
     // After this age of its view an instance reads the store itself.
     milliseconds max_view_age() const
@@ -63,6 +63,19 @@
         return poll_wait_ + milliseconds(1'150);
     }
 
+    // The bounds of a standby, which replaces a lost coordinator before the
+    // grants of keys end, whatever the size of the fleet.
+    static fleet_timing standby()
+    {
+        return fleet_timing(standby_tag{});
+    }
+    // Delay of a takeover by the standby of this rank, from 0, so that standbys
+    // do not write the lease at the same time.
+    static milliseconds standby_delay(std::size_t rank)
+    {
+        return milliseconds(200) * static_cast<long>(std::min(rank, max_rank));
+    }
+
     // Time for which changes are gathered before they are sent to all
     // instances, as each instance costs a reply.
     static milliseconds flush_delay(std::size_t instances)
@@ -84,6 +97,13 @@
     }
 
 private:
+    struct standby_tag
+    {};
+
+    explicit fleet_timing(standby_tag)
+        : poll_wait_(standby_poll_wait), reply_time_(standby_reply_time)
+    {}
+
     static constexpr std::chrono::microseconds answer_delay_per_range{30};
     static constexpr milliseconds max_answer_delay{50};
     static constexpr std::size_t max_ranges = 1'000'000;
@@ -91,8 +111,13 @@
     static constexpr milliseconds poll_wait_per_instance{4};
     static constexpr milliseconds max_poll_wait{1'500};
     static constexpr std::size_t max_instances = 1'000'000;
+    static constexpr milliseconds standby_poll_wait{300};
+    static constexpr milliseconds standby_reply_time{500};
+    static constexpr std::size_t max_rank = 100;
 
     milliseconds poll_wait_;
+    // Time that a reply may take beyond `poll_wait_`.
+    milliseconds reply_time_{600};
 };
 
 } // namespace filberthub
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -65,8 +65,11 @@
     revision_ = store_revision;
     has_read_ = true;
     needs_read_ = false;
-    if (changed && !is_holder())
-        last_heard_ = now;
+    if (changed && !is_holder()) {
+        last_renewed_ = now;
+        if (!same_run)
+            last_answered_ = now;
+    }
     if (was_holder && !is_holder())
         confirmed_at_.reset();
     // The last write of this process was carried out, but its answer was lost.
@@ -77,7 +80,7 @@
 
 void coordinator_lease::on_coordinator_answered(time_point now)
 {
-    last_heard_ = now;
+    last_answered_ = now;
     coordinator_cut_off_ = false;
     read_due_ = false;
 }
@@ -121,13 +124,7 @@
         const bool restarted = record_ && record_->holder == self_.holder;
         const bool unheld = !record_ || record_->holder.empty() || restarted;
         const bool cut_off = coordinator_cut_off_ && !unheld;
-        const milliseconds silence_limit =
-            restarted           ? milliseconds(0)
-            : unheld || cut_off ? options_.takeover_jitter
-                                : options_.takeover + options_.takeover_jitter;
-        const time_point delayed_since =
-            cut_off ? std::max(last_heard_, cut_off_reported_at_) : last_heard_;
-        if (now < delayed_since + silence_limit)
+        if (!restarted && now < takeover_time(unheld, cut_off))
             return std::nullopt;
         next.term = record_ ? record_->term + 1 : 1;
         // A holder that resigned or restarted has stopped granting, but a
@@ -149,6 +146,20 @@
     return lease_write{revision_, next};
 }
 
+// Returns when this process may take the lease that another one has held.
+time_point coordinator_lease::takeover_time(bool unheld, bool cut_off) const
+{
+    const time_point last_heard = std::max(last_answered_, last_renewed_);
+    if (cut_off)
+        return std::max(last_heard, cut_off_reported_at_) +
+               options_.takeover_jitter;
+    if (unheld)
+        return last_heard + options_.takeover_jitter;
+    return std::max(last_answered_ + options_.takeover,
+               last_renewed_ + options_.renewal_silence) +
+           options_.takeover_jitter;
+}
+
 void coordinator_lease::on_predecessor_stopped(
     time_point now, const std::optional<time_point>& leases_before_it_end)
 {
--- a/test/router/fleet_role_test.cpp
+++ b/test/router/fleet_role_test.cpp
@@ -3,6 +3,8 @@
 
 #include "router/fleet_role.hpp"
 
+#include <filberthub/routing/key_granter.hpp>
+
 #include <gtest/gtest.h>
 
 namespace filberthub {
@@ -82,6 +84,55 @@
     EXPECT_EQ(stop_requests_, 3);
 }
 
+// Guards against keys of all servers that are refused after the loss of the
+// coordinator of a large fleet, because their grants end before there is
+// another one.
+TEST_F(fleet_role_test, ReplacesALostCoordinatorBeforeItsGrantsEnd)
+{
+    const std::size_t instances = 295;
+    // The coordinator answers polls and renews its lease until it is lost.
+    bool lost = false;
+    std::size_t answered = 0;
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    http_listener coordinator({}, [&](std::shared_ptr<http_exchange> exchange) {
+        if (lost) {
+            unanswered.push_back(std::move(exchange));
+            return;
+        }
+        ++answered;
+        http_response response;
+        response.body = json{{"run", 11}, {"change", 1},
+            {"facts", json::array()}, {"fleet", instances},
+            {"standbys", {"i-1", "i-2"}},
+            {"hold_ms", fleet_timing(instances).poll_wait().count()},
+            {"store_age_ms", 0},
+            {"view_age_ms",
+                0}}.dump();
+        exchange->respond(std::move(response));
+    });
+    coordinator.listen({"127.0.0.1", 0});
+    lease_record record;
+    record.holder = instance_id("i-1");
+    record.address = coordinator.address();
+    record.run_id = 11;
+    const auto put_renewal = [&] {
+        ++record.renewal;
+        store_.put(
+            "filberthub-lease", "coordinator", json::parse(record.text()));
+    };
+    put_renewal();
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, now);
+    ASSERT_TRUE(run_ticks_until(role, [&] { return answered > 3; }));
+    put_renewal();
+    lost = true;
+    const time_point lost_at = now();
+    ASSERT_TRUE(run_ticks_until(role, [&] { return role.coordinates(now()); }));
+    EXPECT_LT(now() - lost_at, key_granter_options{}.grant_duration);
+}
+
 // Guards against a successor that waits for leases that this coordinator knows
 // to be over.
 TEST_F(fleet_role_test, TellsItsSuccessorWhenEarlierLeasesEnd)
--- a/test/router/fleet_timing_test.cpp
+++ b/test/router/fleet_timing_test.cpp
@@ -5,6 +5,8 @@
 #include "router/feed_messages.hpp"
 #include "router/fleet_feed.hpp"
 
+#include <filberthub/routing/key_granter.hpp>
+
 #include <gtest/gtest.h>
 
 #include <set>
@@ -39,6 +41,36 @@
 INSTANTIATE_TEST_SUITE_P(Sizes, fleet_size_test,
     testing::Values(1, 24, 128, 295, 480, 1'000, 1'000'000'000));
 
+// Guards against keys of all servers that are refused because their grants end
+// before a lost coordinator is replaced, as in a fleet of 295 instances.
+TEST(FleetTiming, ReplacesALostCoordinatorBeforeItsGrantsEnd)
+{
+    // The loop of an instance looks at its state this often.
+    const milliseconds tick{100};
+    // After its last answer the coordinator renews all grants.
+    const time_point lost = time_point{} + std::chrono::hours(1);
+    lease_record other;
+    other.holder = instance_id("a");
+    other.run_id = 1;
+    lease_record self;
+    self.holder = instance_id("b");
+    self.run_id = 2;
+    coordinator_lease lease(self, {});
+    const fleet_timing timing = fleet_timing::standby();
+    lease.set_takeover(timing.takeover());
+    lease.set_takeover_jitter(fleet_timing::standby_delay(0));
+    lease.on_read(other, 4, lost - std::chrono::minutes(1));
+    lease.on_coordinator_answered(lost);
+    // The lease is read once the poll has failed.
+    time_point now = lost + timing.poll_timeout() + tick;
+    other.renewal = 90;
+    lease.on_read(other, 99, now);
+    while (!lease.next_write(now))
+        now += tick;
+    const key_granter_options grants;
+    EXPECT_LE(now - lost, grants.grant_duration - grants.renewal);
+}
+
 // Guards against a coordinator whose work for the answers of servers grows with
 // the square of the number of key ranges, and against moves of keys that take
 // longer in small deployments.
@@ -110,7 +142,7 @@
     }
 
     // Sends a poll of an instance that has the changes up to `after`.
-    void poll(std::size_t number, std::uint64_t after)
+    void poll(std::size_t number, std::uint64_t after, bool is_standby = false)
     {
         auto& client = clients_[number];
         if (!client) {
@@ -123,6 +155,7 @@
         request.body = json{{"instance", "i" + std::to_string(number)},
             {"address", "127.0.0.1:1"}, {"processor_share", 0.1},
             {"leaving", false}, {"run", 7}, {"after", after},
+            {"standby", is_standby},
             {"counts",
                 {{"requests", json::object()}, {"paces", json::object()}}}}
                            .dump();
@@ -145,6 +178,20 @@
     std::set<std::string> texts_;
 };
 
+// Guards against standbys of a large fleet that notice the loss of the
+// coordinator as late as all other instances.
+TEST_F(large_feed_test, AnswersStandbysSoon)
+{
+    for (std::size_t number = 0; number < 295; ++number)
+        poll(number, view_.objects().last_change(), number == 7);
+    ASSERT_TRUE(run_until([&] { return polls_ == 295; }));
+    now_ += fleet_timing::standby().poll_wait();
+    server_.answer_due(7, {}, now_);
+    ASSERT_TRUE(run_until([&] { return replies_ == 1; }));
+    EXPECT_LT(fleet_timing::standby().poll_wait() + milliseconds(400),
+        fleet_timing::standby().poll_timeout());
+}
+
 // Guards against a coordinator that cannot send the view to a large fleet
 // before it is replaced, as after a fresh start of all instances.
 TEST_F(large_feed_test, SendsTheWholeViewBeforeAnotherInstanceTakesOver)
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -77,6 +77,35 @@
     ASSERT_TRUE(lease.next_write(at_ms(1'000) + silence).has_value());
 }
 
+// Guards against grants that end before a lost coordinator is replaced: the
+// first read of the lease after a time without reads is no sign of life.
+TEST(CoordinatorLease, IsTakenSoonFromAKnownHolderThatStopsAnswering)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease.set_takeover(milliseconds(2'000));
+    lease_record other = record_of("a", 1);
+    lease.on_read(other, 4, at_ms(0));
+    lease.on_coordinator_answered(at_ms(9'000));
+    other.renewal = 15;
+    lease.on_read(other, 19, at_ms(11'000));
+    const milliseconds silence = lease_options{}.renewal_silence;
+    EXPECT_FALSE(lease.next_write(at_ms(11'000) + silence - milliseconds(1)));
+    EXPECT_TRUE(lease.next_write(at_ms(11'000) + silence));
+}
+
+// Guards against a fleet whose instances replace a new coordinator that has not
+// had the time to answer them.
+TEST(CoordinatorLease, GivesANewHolderTheTimeToAnswer)
+{
+    coordinator_lease lease = lease_of("c", 3);
+    lease.set_takeover(milliseconds(2'000));
+    lease.on_read(record_of("a", 1), 4, at_ms(0));
+    lease.on_coordinator_answered(at_ms(1'000));
+    lease.on_read(record_of("b", 2), 9, at_ms(6'000));
+    EXPECT_FALSE(lease.next_write(at_ms(7'999)));
+    EXPECT_TRUE(lease.next_write(at_ms(8'000)));
+}
+
 // Guards against a takeover by an instance that cannot reach the holder while
 // the holder still renews its lease.
 TEST(CoordinatorLease, IsNotTakenWhileItIsRenewed)
