Keep the grants of a coordinator whose lease lapsed in an outage

From 28.2 s on running servers refused 2,921 attempts a second with 421, and 1,518 requests in second 28 were refused because the repeats had spent the retry budget.

Cause: the lease lapsed at 25.50 s, and the coordinator dropped all that it knew of its grants. When it had renewed the lease, at 27.40 s, it read the tables again, wrote new tokens and granted 708 ranges as if it had replaced another process. Its event loop was delayed by 0.50 and 0.43 s, 409 grants had no answer in time, and the grants of most keys ended meanwhile. All instances were refused at the lapse and followed it anew.

Change: the coordinator pauses until it renews the lease or learns of another holder. The renewal is a write that requires the revision of its own last one, so nobody else has granted meanwhile. Polls are answered during the pause with the age of the view. Commands are no longer sent between the end of the lease and the next tick.

Test: fleet_role_test.ContinuesItsGrantsAfterALapseOfItsLease, which failed before (new tokens after the lapse).

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -133,6 +133,12 @@
     // Whether the last known record names this process, even if its lease has
     // expired.
     bool is_holder() const;
+    // Whether this process may hold the lease again by a renewal. The renewal
+    // then proves that no other process has held it in between.
+    bool may_resume() const;
+    // When the lease ends unless it is renewed. Only meaningful while this
+    // process holds it.
+    time_point end() const;
     const std::optional<lease_record>& record() const
     {
         return record_;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -103,7 +103,7 @@
     flush_timer_.setSingleShot(true);
     QObject::connect(&flush_timer_, &QTimer::timeout, [this] {
         const time_point now = clock_();
-        if (lease_.holds(now))
+        if (lease_.may_resume())
             server_.flush(self_.run_id, view_age(now), now);
     });
     client_.on_answered([this](milliseconds age) {
@@ -217,12 +217,13 @@
     store_.watch_lease(false);
     isolated_since_.reset();
     if (!lease_.holds(now)) {
-        if (controller_)
-            log_event(log_level::warn, "lease lapsed; granting stops", {});
-        controller_.reset();
-        server_.refuse_all();
+        pause_coordinating(now);
         return;
     }
+    if (granting_paused_) {
+        granting_paused_ = false;
+        log_event(log_level::info, "lease renewed; granting goes on", {});
+    }
     if (!controller_) {
         const std::uint64_t term = lease_.record()->term;
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
@@ -233,6 +234,7 @@
         server_.assume_members(view_.members(), settings_.instance, now);
         next_stop_request_ = now;
     }
+    controller_->set_lease_end(lease_.end());
     stop_predecessor(now);
     if (now >= next_report_) {
         next_report_ = now + local_report_interval;
@@ -249,6 +251,30 @@
     flush_soon();
 }
 
+// Keeps what this process knows while its lease has ended but no other process
+// is known to hold it. Polls are answered with the age of the view.
+void fleet_role::pause_coordinating(time_point now)
+{
+    if (!lease_.may_resume()) {
+        stop_coordinating();
+        return;
+    }
+    if (controller_ && !granting_paused_) {
+        granting_paused_ = true;
+        log_event(log_level::warn, "lease lapsed; granting pauses", {});
+    }
+    server_.answer_due(self_.run_id, view_age(now), now);
+}
+
+void fleet_role::stop_coordinating()
+{
+    if (controller_)
+        log_event(log_level::info, "stopped coordinating the fleet", {});
+    granting_paused_ = false;
+    controller_.reset();
+    server_.refuse_all();
+}
+
 void fleet_role::report_grant_progress(time_point now)
 {
     for (const auto& [id, progress] : controller_->grant_progress(now)) {
@@ -300,11 +326,8 @@
 
 void fleet_role::follow(time_point now)
 {
-    if (controller_) {
-        log_event(log_level::info, "stopped coordinating the fleet", {});
-        controller_.reset();
-        server_.refuse_all();
-    }
+    if (controller_)
+        stop_coordinating();
     const auto& record = lease_.record();
     const bool follows_other =
         record && !record->holder.empty() && record->run_id != self_.run_id;
@@ -347,7 +370,7 @@
         on_stop_request(*exchange);
         return;
     }
-    if (!lease_.holds(now) || leaving_) {
+    if (!lease_.may_resume() || leaving_) {
         http_response response;
         response.status = 409;
         response.body = "not the coordinator";
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -57,6 +57,8 @@
     void apply_update(const watch_update& update, time_point now);
     void on_lease_objects(const watch_update& update);
     void coordinate(time_point now);
+    void pause_coordinating(time_point now);
+    void stop_coordinating();
     void follow(time_point now);
     void renew(time_point now);
     void set_takeover_times();
@@ -96,6 +98,8 @@
     bool stop_request_open_ = false;
     time_point next_stop_request_;
     std::unique_ptr<ownership_controller> controller_;
+    // Whether `controller_` waits for a renewal of a lease that has ended.
+    bool granting_paused_ = false;
     bool lease_read_open_ = false;
     bool leaving_ = false;
     bool tick_pending_ = false;
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -107,6 +107,8 @@
 void ownership_controller::advance(time_point now)
 {
     note_turn(now);
+    if (now >= lease_end_)
+        return;
     if (!tables_read_) {
         if (!table_read_open_ && now >= next_table_read_)
             read_tables();
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -28,9 +28,16 @@
         std::function<time_point()> clock);
     ~ownership_controller();
 
-    // Plans tables and sends the commands that are due. To be called at each
-    // tick, and only while the lease is valid.
+    // Plans tables and sends the commands that are due, unless the lease has
+    // ended. To be called at each tick.
     void advance(time_point now);
+    // Sets when the lease ends, which is never before the first call. A lease
+    // that has ended may be renewed: as nobody else has held it meanwhile, this
+    // coordinator still knows all grants that were sent.
+    void set_lease_end(time_point end)
+    {
+        lease_end_ = end;
+    }
     // Adds the load that an instance has reported.
     void on_report(const load_counts& counts);
     // Earlier coordinators have confirmed that they send no more grants from
@@ -93,6 +100,7 @@
     store_session& store_;
     std::uint64_t term_;
     time_point earlier_grants_end_;
+    time_point lease_end_ = time_point::max();
     std::function<time_point()> clock_;
     // Tells the callbacks of open calls whether the controller still exists.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -101,10 +101,19 @@
            record_->run_id == self_.run_id;
 }
 
+bool coordinator_lease::may_resume() const
+{
+    return is_holder() && record_->term >= superseded_by_;
+}
+
+time_point coordinator_lease::end() const
+{
+    return confirmed_at_ ? *confirmed_at_ + options_.duration : time_point{};
+}
+
 bool coordinator_lease::holds(time_point now) const
 {
-    return is_holder() && record_->term >= superseded_by_ && confirmed_at_ &&
-           now < *confirmed_at_ + options_.duration;
+    return may_resume() && confirmed_at_ && now < end();
 }
 
 std::optional<lease_write> coordinator_lease::next_write(time_point now)
@@ -197,10 +206,8 @@
 // because they are not known any more.
 void coordinator_lease::confirm(time_point now)
 {
-    if (confirmed_at_ && now >= *confirmed_at_ + options_.duration) {
-        earlier_leases_end_ =
-            std::max(earlier_leases_end_, *confirmed_at_ + options_.duration);
-    }
+    if (confirmed_at_ && now >= end())
+        earlier_leases_end_ = std::max(earlier_leases_end_, end());
     confirmed_at_ = written_at_;
 }
 
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -55,6 +55,12 @@
         add_event(kind, next_object(name, nullptr), true);
     }
 
+    // Whether calls are answered with status 503.
+    void set_failing(bool failing)
+    {
+        failing_ = failing;
+    }
+
 private:
     static http_response make_response(int status, const json& body)
     {
@@ -125,6 +131,10 @@
     void handle(std::shared_ptr<http_exchange> exchange)
     {
         const http_request& request = exchange->request();
+        if (failing_) {
+            exchange->respond(make_response(503, json::object()));
+            return;
+        }
         const std::string prefix = "/-/objects/";
         const std::string path =
             request.target.substr(0, request.target.find('?'))
@@ -165,6 +175,7 @@
     std::vector<event> events_;
     std::vector<open_watch> watches_;
     std::uint64_t revision_ = 100;
+    bool failing_ = false;
 };
 
 // Keeps each request open until the test answers it.
--- a/test/router/fleet_role_test.cpp
+++ b/test/router/fleet_role_test.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace filberthub {
 namespace {
 
@@ -133,6 +135,53 @@
     EXPECT_LT(now() - lost_at, key_granter_options{}.grant_duration);
 }
 
+// Guards against keys of all servers that are refused after an outage of the
+// store, because the coordinator forgets its grants when its lease lapses.
+TEST_F(fleet_role_test, ContinuesItsGrantsAfterALapseOfItsLease)
+{
+    std::set<std::uint64_t> tokens;
+    std::size_t grants = 0;
+    http_listener server(
+        {}, [&](const std::shared_ptr<http_exchange>& exchange) {
+            tokens.insert(json::parse(exchange->request().body)
+                              .at("fence")
+                              .get<std::uint64_t>());
+            ++grants;
+            exchange->respond(http_response{});
+        });
+    server.listen({"127.0.0.1", 0});
+    store_.put("config", "main",
+        {{"Version", "0000000c"}, {"Routes", json::array()},
+            {"Services", {{{"Name", "maps"}, {"Sharded", true},
+                             {"MaxConnections", 9}}}}});
+    store_.put("servers", "i-1",
+        {{"Service", "maps"}, {"Address", to_string(server.address())},
+            {"Zone", "a"}, {"Capacity", 2}, {"State", "ready"},
+            {"WarmupLeftMs", 0}});
+    milliseconds skipped{0};
+    const auto later_now = [&] { return now() + skipped; };
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, later_now);
+    const auto run = [&](const std::function<bool()>& condition) {
+        return run_until([&] {
+            role.tick(later_now());
+            return condition();
+        });
+    };
+    ASSERT_TRUE(run([&] { return grants > 2; }));
+    const std::set<std::uint64_t> granted = tokens;
+    store_.set_failing(true);
+    skipped = lease_options{}.duration;
+    ASSERT_TRUE(run([&] { return !role.coordinates(later_now()); }));
+    store_.set_failing(false);
+    ASSERT_TRUE(run([&] { return role.coordinates(later_now()); }));
+    const std::size_t before = grants;
+    ASSERT_TRUE(run([&] { return grants > before; }));
+    EXPECT_EQ(tokens, granted);
+}
+
 // Guards against a successor that waits for leases that this coordinator knows
 // to be over.
 TEST_F(fleet_role_test, TellsItsSuccessorWhenEarlierLeasesEnd)
