Read only what changed when an instance loses the coordinator

Cause: an instance that no longer receives changes lists all objects again. 809 servers are 17 pages, and each of 294 instances did so, also a new coordinator, although each knows up to which version its view is complete.

Change: the watch of a kind starts from that version. Its first call does not wait, so that its answer shows whether there were other changes. If the store no longer has the history, all objects are read as before; also if a watch finds that the kind has no objects.

Test: fleet_role_test.ReadsOnlyWhatChangedWhenTheCoordinatorIsSilent, which failed before (1 list, expected 0).

--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -213,7 +213,7 @@
 {
     client_.follow(std::nullopt);
     store_.set_timing(coordinator_timing);
-    store_.watch_deployment(true);
+    store_.watch_deployment(view_.objects().complete());
     store_.watch_lease(false);
     isolated_since_.reset();
     if (!lease_.holds(now)) {
@@ -342,7 +342,7 @@
             log_event(
                 log_level::info, "receiving changes from the coordinator", {});
         isolated_since_.reset();
-        store_.watch_deployment(false);
+        store_.stop_deployment_watches();
         store_.watch_lease(false);
         return;
     }
@@ -357,10 +357,10 @@
     // other objects would be refused as well, and each call is billed.
     const bool reachable = store_age(now) < max_reachable_store_age;
     if (!reachable)
-        store_.watch_deployment(false);
+        store_.stop_deployment_watches();
     else if (now >=
              *isolated_since_ + (view_.ready() ? isolation_grace : start_grace))
-        store_.watch_deployment(true);
+        store_.watch_deployment(view_.objects().complete());
 }
 
 void fleet_role::on_poll(std::shared_ptr<http_exchange> exchange)
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -3,6 +3,7 @@
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace filberthub {
 namespace {
@@ -13,6 +14,9 @@
 // How long the store may hold a watch call open. Each call is billed, which
 // favors a long time; a dead connection is detected only after it.
 constexpr milliseconds watch_wait{3'000};
+// The wait of the first watch call from a known revision. Its answer shows that
+// there were no other changes.
+constexpr milliseconds first_watch_wait{1};
 // Time that a reply may take beyond the waiting time of a watch call.
 constexpr milliseconds watch_slack{700};
 // The store answers within a few milliseconds, or a few hundred while it is
@@ -44,11 +48,15 @@
     connect(&retry_timer_, &QTimer::timeout, this, [this] { send_next(); });
 }
 
-void store_watch::start()
+void store_watch::start(std::uint64_t known_revision)
 {
     if (started_)
         return;
     started_ = true;
+    if (known_revision > 0) {
+        revision_ = known_revision;
+        resuming_ = true;
+    }
     send_next();
 }
 
@@ -60,8 +68,8 @@
         client_.cancel(*open_call_);
     open_call_.reset();
     failures_ = 0;
-    // The next start reads all objects again.
     revision_.reset();
+    resuming_ = false;
     listed_objects_.clear();
     list_cursor_.clear();
 }
@@ -71,8 +79,9 @@
     if (!started_ || open_call_)
         return;
     if (revision_) {
-        send(platform_api::watch_call(kind_, *revision_, watch_wait),
-            watch_wait + watch_slack, false);
+        const milliseconds wait = resuming_ ? first_watch_wait : watch_wait;
+        send(platform_api::watch_call(kind_, *revision_, wait),
+            wait + watch_slack, false);
     } else {
         send(platform_api::list_call(kind_, list_cursor_), call_timeout, true);
     }
@@ -125,6 +134,7 @@
             "store no longer has the watch history; reading all objects",
             {{"kind", platform_api::kind_name(kind_)}});
         revision_.reset();
+        resuming_ = false;
         send_next();
         return;
     case store_outcome::not_found:
@@ -133,6 +143,8 @@
             const std::uint64_t none = 0;
             callback_({kind_, true, {}, none, failures_ > 0});
         }
+        revision_.reset();
+        resuming_ = false;
         retry(status);
         kind_absent_ = listing;
         return;
@@ -163,6 +175,7 @@
     }
     unreadable_logged_ = page.unreadable_objects > 0;
     if (!listing) {
+        update.resumed = std::exchange(resuming_, false);
         update.objects = std::move(page.objects);
         update.store_revision = page.store_revision;
         revision_ = std::max(*revision_, page.store_revision);
@@ -207,9 +220,9 @@
         last_contact_ = now;
         const auto [reply, is_new] =
             last_replies_.try_emplace(update.kind, time_point{});
-        // A complete list was read because the watch started or the history was
-        // gone, so changes may have been missed.
-        if (update.complete || update.after_outage)
+        // The watch has just started, or the history was gone, so changes may
+        // have been missed.
+        if (update.complete || update.resumed || update.after_outage)
             update.changes_missed_since = reply->second;
         reply->second = now;
         on_update(update);
@@ -223,12 +236,20 @@
         object_kind::coordinator_lease, watch_client_, calls_, record_update);
 }
 
-void store_session::watch_deployment(bool enabled)
+void store_session::watch_deployment(const complete_versions& known)
+{
+    for (const std::unique_ptr<store_watch>& watch : deployment_) {
+        const auto version = known.find(platform_api::kind_name(watch->kind()));
+        watch->start(version == known.end()
+                         ? 0
+                         : platform_api::store_revision_of(version->second));
+    }
+}
+
+void store_session::stop_deployment_watches()
 {
     for (const std::unique_ptr<store_watch>& watch : deployment_) {
-        if (enabled)
-            watch->start();
-        else if (watch->started())
+        if (watch->started())
             watch->stop();
     }
 }
@@ -257,7 +278,7 @@
 void store_session::watch_lease(bool enabled)
 {
     if (enabled)
-        lease_->start();
+        lease_->start(0);
     else if (lease_->started())
         lease_->stop();
 }
--- a/src/router/store_session.hpp
+++ b/src/router/store_session.hpp
@@ -2,13 +2,14 @@
 // objects. Internal to `router`.
 //
 //     store_session store(address, metrics, on_update, clock);
-//     store.watch_deployment(true);
+//     store.watch_deployment(known_versions);
 //     store.call(request, on_reply);
 
 #ifndef FILBERTHUB_ROUTER_STORE_SESSION_HPP
 #define FILBERTHUB_ROUTER_STORE_SESSION_HPP
 
 #include <filberthub/net/http_client.hpp>
+#include <filberthub/routing/object_cache.hpp>
 #include <filberthub/telemetry/metric_registry.hpp>
 
 #include <platform/store_api.hpp>
@@ -30,6 +31,8 @@
     std::uint64_t store_revision = 0;
     // Whether the calls of this watch failed until this reply.
     bool after_outage = false;
+    // Whether this is the first reply after a start from a known revision.
+    bool resumed = false;
     // Present if changes since this time were possibly not reported before.
     std::optional<time_point> changes_missed_since;
 };
@@ -44,15 +47,18 @@
     milliseconds max_retry_delay{1'000};
 };
 
-// Reads all objects of a kind and then waits for changes. Reads all objects
-// again if the store no longer has the history since the last known revision.
+// Reads all objects of a kind, unless a revision is known, and then waits for
+// changes. Reads all objects again if the store no longer has the history since
+// the last known revision.
 class store_watch : public QObject
 {
 public:
     store_watch(platform_api::object_kind kind, http_client& client,
         counter& calls, std::function<void(const watch_update&)> callback);
 
-    void start();
+    // Reports the changes since this revision of the store; all objects if it
+    // is 0.
+    void start(std::uint64_t known_revision);
     void stop();
     bool started() const
     {
@@ -61,7 +67,8 @@
     // Whether changes are currently reported as they happen.
     bool current() const
     {
-        return started_ && (kind_absent_ || (revision_ && failures_ == 0));
+        return started_ &&
+               (kind_absent_ || (revision_ && !resuming_ && failures_ == 0));
     }
     platform_api::object_kind kind() const
     {
@@ -93,8 +100,10 @@
     bool started_ = false;
     std::optional<call_number> open_call_;
     // Revision up to which changes were reported. Present once a complete list
-    // was read.
+    // was read, or if it was known at the start.
     std::optional<std::uint64_t> revision_;
+    // Whether changes since the known revision were not reported yet.
+    bool resuming_ = false;
     std::vector<versioned_object> listed_objects_;
     // Where the next page of the list begins; empty for the first page.
     std::string list_cursor_;
@@ -121,9 +130,10 @@
         const std::function<void(const watch_update&)>& on_update,
         std::function<time_point()> clock);
 
-    // Starts or stops the watches of the objects that the operator and the
-    // servers write.
-    void watch_deployment(bool enabled);
+    // Starts the watches of the objects that the operator and the servers
+    // write. `known` tells up to which version the objects of a kind are known.
+    void watch_deployment(const complete_versions& known);
+    void stop_deployment_watches();
     // Starts or stops the watch of the coordinator lease.
     void watch_lease(bool enabled);
     bool lease_watch_failing() const
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -55,6 +55,25 @@
         add_event(kind, next_object(name, nullptr), true);
     }
 
+    // Number of calls that listed all objects of a kind.
+    std::size_t lists(const std::string& kind) const
+    {
+        const auto found = lists_.find(kind);
+        return found == lists_.end() ? 0 : found->second;
+    }
+
+    // Number of calls that watched a kind.
+    std::size_t watches(const std::string& kind) const
+    {
+        const auto found = watch_calls_.find(kind);
+        return found == watch_calls_.end() ? 0 : found->second;
+    }
+
+    std::uint64_t revision() const
+    {
+        return revision_;
+    }
+
     // Whether calls are answered with status 503.
     void set_failing(bool failing)
     {
@@ -70,6 +89,12 @@
         return response;
     }
 
+    static std::uint64_t number_in(
+        const std::string& target, const std::string& field)
+    {
+        return std::stoull(target.substr(target.find(field) + field.size()));
+    }
+
     struct event
     {
         std::string kind;
@@ -120,12 +145,18 @@
         const std::string& kind, std::shared_ptr<http_exchange> exchange)
     {
         const std::string& target = exchange->request().target;
-        const std::string field = "Watch=";
-        const std::uint64_t after =
-            std::stoull(target.substr(target.find(field) + field.size()));
+        const std::uint64_t after = number_in(target, "Watch=");
+        ++watch_calls_[kind];
+        const bool waits = number_in(target, "WaitMs=") > 1;
         const open_watch watch{kind, after, std::move(exchange)};
-        if (!answer(watch))
+        if (answer(watch))
+            return;
+        if (waits) {
             watches_.push_back(watch);
+            return;
+        }
+        watch.exchange->respond(make_response(
+            200, {{"events", json::array()}, {"StoreRevision", revision_}}));
     }
 
     void handle(std::shared_ptr<http_exchange> exchange)
@@ -162,6 +193,7 @@
                                   : make_response(200, found->second));
             return;
         }
+        ++lists_[kind];
         json items = json::array();
         for (const auto& [name, object] : objects_[kind])
             items.push_back(object);
@@ -176,6 +208,8 @@
     std::vector<open_watch> watches_;
     std::uint64_t revision_ = 100;
     bool failing_ = false;
+    std::map<std::string, std::size_t> lists_;
+    std::map<std::string, std::size_t> watch_calls_;
 };
 
 // Keeps each request open until the test answers it.
--- a/test/router/fleet_role_test.cpp
+++ b/test/router/fleet_role_test.cpp
@@ -86,55 +86,112 @@
     EXPECT_EQ(stop_requests_, 3);
 }
 
-// Guards against keys of all servers that are refused after the loss of the
-// coordinator of a large fleet, because their grants end before there is
-// another one.
-TEST_F(fleet_role_test, ReplacesALostCoordinatorBeforeItsGrantsEnd)
+// A coordinator of 295 instances, which answers polls and writes its lease to
+// the store. It names the instance `i-2` as its second standby.
+class large_fleet_coordinator
 {
-    const std::size_t instances = 295;
-    // The coordinator answers polls and renews its lease until it is lost.
-    bool lost = false;
-    std::size_t answered = 0;
-    std::vector<std::shared_ptr<http_exchange>> unanswered;
-    http_listener coordinator({}, [&](std::shared_ptr<http_exchange> exchange) {
-        if (lost) {
-            unanswered.push_back(std::move(exchange));
+public:
+    explicit large_fleet_coordinator(test::fake_store& store)
+        : store_(store),
+          listener_({}, [this](std::shared_ptr<http_exchange> exchange) {
+              on_poll(std::move(exchange));
+          })
+    {
+        listener_.listen({"127.0.0.1", 0});
+        record_.holder = instance_id("i-1");
+        record_.address = listener_.address();
+        record_.run_id = 11;
+        renew();
+    }
+
+    void renew()
+    {
+        ++record_.renewal;
+        store_.put(
+            "filberthub-lease", "coordinator", json::parse(record_.text()));
+    }
+
+    void stop_answering()
+    {
+        answering_ = false;
+    }
+
+    std::size_t answered() const
+    {
+        return answered_;
+    }
+
+private:
+    void on_poll(std::shared_ptr<http_exchange> exchange)
+    {
+        if (!answering_) {
+            unanswered_.push_back(std::move(exchange));
             return;
         }
-        ++answered;
+        ++answered_;
+        const std::size_t instances = 295;
+        const std::uint64_t version =
+            platform_api::removal_version(store_.revision()).value();
         http_response response;
-        response.body = json{{"run", 11}, {"change", 1},
+        response.body = json{{"run", record_.run_id}, {"change", 1},
             {"facts", json::array()}, {"fleet", instances},
+            {"complete", {{"configuration", version}, {"server", version},
+                             {"evacuation", version}}},
             {"standbys", {"i-1", "i-2"}},
             {"hold_ms", fleet_timing(instances).poll_wait().count()},
             {"store_age_ms", 0},
             {"view_age_ms",
                 0}}.dump();
         exchange->respond(std::move(response));
-    });
-    coordinator.listen({"127.0.0.1", 0});
-    lease_record record;
-    record.holder = instance_id("i-1");
-    record.address = coordinator.address();
-    record.run_id = 11;
-    const auto put_renewal = [&] {
-        ++record.renewal;
-        store_.put(
-            "filberthub-lease", "coordinator", json::parse(record.text()));
-    };
-    put_renewal();
+    }
+
+    test::fake_store& store_;
+    http_listener listener_;
+    lease_record record_;
+    bool answering_ = true;
+    std::size_t answered_ = 0;
+    std::vector<std::shared_ptr<http_exchange>> unanswered_;
+};
+
+// Guards against keys of all servers that are refused after the loss of the
+// coordinator of a large fleet, because their grants end before there is
+// another one.
+TEST_F(fleet_role_test, ReplacesALostCoordinatorBeforeItsGrantsEnd)
+{
+    large_fleet_coordinator coordinator(store_);
     deployment_view view(settings_);
     metric_registry metrics;
     fleet_role role(
         settings_, view, metrics, [] { return load_counts{}; }, now);
-    ASSERT_TRUE(run_ticks_until(role, [&] { return answered > 3; }));
-    put_renewal();
-    lost = true;
+    ASSERT_TRUE(
+        run_ticks_until(role, [&] { return coordinator.answered() > 3; }));
+    coordinator.renew();
+    coordinator.stop_answering();
     const time_point lost_at = now();
     ASSERT_TRUE(run_ticks_until(role, [&] { return role.coordinates(now()); }));
     EXPECT_LT(now() - lost_at, key_granter_options{}.grant_duration);
 }
 
+// Guards against a fleet in which each instance reads all servers, which takes
+// dozens of calls, whenever the coordinator is silent.
+TEST_F(fleet_role_test, ReadsOnlyWhatChangedWhenTheCoordinatorIsSilent)
+{
+    large_fleet_coordinator coordinator(store_);
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, now);
+    ASSERT_TRUE(
+        run_ticks_until(role, [&] { return coordinator.answered() > 3; }));
+    coordinator.stop_answering();
+    store_.put("servers", "i-9", json::object());
+    ASSERT_TRUE(run_ticks_until(role, [&] {
+        return store_.lists("servers") + store_.watches("servers") > 2;
+    }));
+    EXPECT_EQ(store_.lists("servers"), 0U);
+    EXPECT_NE(view.objects().find("server/i-9"), nullptr);
+}
+
 // Guards against keys of all servers that are refused after an outage of the
 // store, because the coordinator forgets its grants when its lease lapses.
 TEST_F(fleet_role_test, ContinuesItsGrantsAfterALapseOfItsLease)
