Tell instances that the store turns away who coordinates

At 7.6 s another instance takes the lease; only some 100 of 294 instances follow it at once. From 8 to 12 s 1,077 to 2,082 attempts a second are refused by servers that have ended or no longer hold the key, and up to 1,629 requests a second are refused because the repeats have spent the retry budget of the whole fleet.

Cause: an instance learned only from the store who coordinates. One that the store turns away kept polling the replaced coordinator, which refused, and used owners and servers of the time before.

Change: a refusal tells the newest lease that the refusing process knows; a successor tells its lease when it asks its predecessor to stop; an instance whose coordinator and store are silent asks standbys and other members.

Tests: fleet_role_test.LearnsItsCoordinatorFromTheOneBeforeWithoutTheStore and fleet_role_test.LearnsItsCoordinatorFromOtherInstancesWithoutTheStore, which both failed before (no poll within 10 s); CoordinatorLease.UsesOnlyNewerNewsOfOther- Instances (new interface).

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -94,6 +94,11 @@
     // object does not exist. Reads of an older revision are ignored.
     void on_read(const std::optional<lease_record>& record,
         std::uint64_t store_revision, time_point now);
+    // To be called with a record that another process has read at this revision
+    // of the store. It is used if it is newer than the known one, unless this
+    // process holds the lease or may have written it.
+    void on_told(const lease_record& record, std::uint64_t store_revision,
+        time_point now);
     // To be called when the coordinator answered this process and reported that
     // it reaches the store.
     void on_coordinator_answered(time_point now);
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -171,13 +171,13 @@
     return response;
 }
 
-void feed_server::refuse_all()
+void feed_server::refuse_all(const std::string& body)
 {
     std::vector<open_poll> waiting;
     waiting.swap(polls_);
     members_.clear();
     for (open_poll& poll : waiting)
-        poll.exchange->respond(text_response(409, "not the coordinator"));
+        poll.exchange->respond(text_response(409, body));
 }
 
 std::size_t feed_server::fleet_size(time_point now)
@@ -281,7 +281,7 @@
     if (!answering_) {
         poll_timer_.start(retry_delay);
         if (on_refused_)
-            on_refused_();
+            on_refused_(result.response->body);
         return;
     }
     milliseconds age{0};
@@ -310,6 +310,7 @@
             {{"rank", is_standby ? rank : *standby_rank_}});
     }
     standby_rank_ = is_standby ? std::optional(rank) : std::nullopt;
+    standbys_ = standbys;
 }
 
 milliseconds feed_client::apply(const std::string& body, time_point now)
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -78,9 +78,9 @@
     void flush(std::uint64_t run_id, feed_age age, time_point now);
     // Answers the polls whose waiting time is over. To be called at each tick.
     void answer_due(std::uint64_t run_id, feed_age age, time_point now);
-    // Answers all open polls with status 409. To be called when this process
-    // stops coordinating.
-    void refuse_all();
+    // Answers all open polls with status 409 and this body. To be called when
+    // this process stops coordinating.
+    void refuse_all(const std::string& body);
     // Returns the number of instances that have polled recently, plus this one.
     std::size_t fleet_size(time_point now);
     // Returns the instances that have polled and are not leaving, without this
@@ -173,6 +173,12 @@
         return standby_rank_;
     }
 
+    // The standbys that the coordinator has named last.
+    const std::vector<instance_id>& standbys() const
+    {
+        return standbys_;
+    }
+
     // Returns the time up to which a coordinator has delivered all changes.
     time_point complete_until() const
     {
@@ -185,9 +191,9 @@
     {
         on_answered_ = std::move(callback);
     }
-    // Sets the function that is called when the polled process refuses, because
-    // it is no longer the coordinator.
-    void on_refused(std::function<void()> callback)
+    // Sets the function that is called with the body of the answer when the
+    // polled process refuses, because it is no longer the coordinator.
+    void on_refused(std::function<void(const std::string&)> callback)
     {
         on_refused_ = std::move(callback);
     }
@@ -205,7 +211,7 @@
     std::function<load_counts()> take_load_counts_;
     std::function<time_point()> clock_;
     std::function<void(milliseconds)> on_answered_;
-    std::function<void()> on_refused_;
+    std::function<void(const std::string&)> on_refused_;
     std::unique_ptr<http_client> client_;
     std::optional<lease_record> coordinator_;
     QTimer poll_timer_;
@@ -214,6 +220,7 @@
     // Identifies the coordinator process that counted `last_change_`.
     std::uint64_t run_id_ = 0;
     fleet_timing timing_{std::size_t{1}};
+    std::vector<instance_id> standbys_;
     std::optional<std::size_t> standby_rank_;
     bool answering_ = false;
     // Time up to which the view of the coordinator was complete at its last
--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -9,6 +9,8 @@
 #include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/log.hpp>
 
+#include <algorithm>
+
 namespace filberthub {
 namespace {
 
@@ -158,9 +160,10 @@
     http_request request;
     request.method = "POST";
     request.target = stop_path;
-    request.body = json{{"run", lease_.predecessor()->run_id},
-        {"term", lease_.record()->term}}
-                       .dump();
+    json body = encode({*lease_.record(), lease_.store_revision()});
+    body["run"] = lease_.predecessor()->run_id;
+    body["term"] = lease_.record()->term;
+    request.body = body.dump();
     predecessor_client_->send(std::move(request), stop_timeout,
         [this, term = lease_.record()->term](
             const http_result& result) { on_stop_reply(term, result); });
@@ -194,6 +197,9 @@
         const json document =
             parse_json(exchange.request().body, error_kind::bad_peer_message);
         const auto term = document.at("term").get<std::uint64_t>();
+        // A successor of an earlier release does not tell its lease.
+        if (document.contains("lease"))
+            told_by_successor_ = decode_lease_news(document);
         // With a different run id, the message is for an earlier run of this
         // process, and this run has granted nothing.
         if (document.at("run").get<std::uint64_t>() == self_.run_id) {
@@ -219,4 +225,74 @@
     exchange.respond(std::move(response));
 }
 
+void fleet_role::on_poll(std::shared_ptr<http_exchange> exchange)
+{
+    const time_point now = clock_();
+    const std::string& target = exchange->request().target;
+    if (target == stop_path) {
+        on_stop_request(*exchange);
+        return;
+    }
+    http_response response;
+    if (target == lease_path) {
+        const auto news = newest_lease();
+        response.status = news ? 200 : 404;
+        response.body = news ? encode(*news).dump() : "no lease is known";
+        exchange->respond(std::move(response));
+        return;
+    }
+    if (!lease_.may_resume() || leaving_) {
+        response.status = 409;
+        response.body = refusal_text();
+        exchange->respond(std::move(response));
+        return;
+    }
+    server_.on_poll(std::move(exchange), self_.run_id, now);
+    flush_soon();
+}
+
+void fleet_role::on_lease_news(const lease_news& news)
+{
+    lease_.on_told(news.record, news.store_revision, clock_());
+    tick_soon();
+}
+
+std::optional<lease_news> fleet_role::newest_lease() const
+{
+    const bool has_read = lease_.record().has_value();
+    if (told_by_successor_ && (!has_read || told_by_successor_->store_revision >
+                                                lease_.store_revision()))
+        return told_by_successor_;
+    if (!has_read)
+        return std::nullopt;
+    return lease_news{*lease_.record(), lease_.store_revision()};
+}
+
+std::string fleet_role::refusal_text() const
+{
+    const auto news = newest_lease();
+    return news ? encode(*news).dump() : "not the coordinator";
+}
+
+std::vector<endpoint> fleet_role::peers_to_ask() const
+{
+    const std::vector<instance_id>& standbys = client_.standbys();
+    std::vector<endpoint> peers;
+    std::vector<endpoint> others;
+    for (const live_instance& member : view_.members()) {
+        if (member.id == settings_.instance)
+            continue;
+        const bool is_standby = std::find(standbys.begin(), standbys.end(),
+                                    member.id) != standbys.end();
+        (is_standby ? peers : others).push_back(member.address);
+    }
+    // Any other instance may have read the lease since.
+    if (!others.empty()) {
+        const auto index = static_cast<std::size_t>(
+            view_.uniform_random() * static_cast<double>(others.size()));
+        peers.push_back(others[std::min(index, others.size() - 1)]);
+    }
+    return peers;
+}
+
 } // namespace filberthub
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -98,7 +98,8 @@
                   controller_->on_report(counts);
           }),
       client_({settings.instance, settings.peers, settings.processor_share},
-          view, take_load_counts_, clock_)
+          view, take_load_counts_, clock_),
+      inquiry_([this](const lease_news& news) { on_lease_news(news); })
 {
     flush_timer_.setSingleShot(true);
     QObject::connect(&flush_timer_, &QTimer::timeout, [this] {
@@ -113,7 +114,11 @@
             read_lease();
     });
     // The tick starts the watch of the lease, which reads the lease.
-    client_.on_refused([this] { tick_soon(); });
+    client_.on_refused([this](const std::string& answer) {
+        if (const auto news = read_lease_news(answer))
+            on_lease_news(*news);
+        tick_soon();
+    });
     store_.watch_lease(true);
 }
 
@@ -272,39 +277,7 @@
         log_event(log_level::info, "stopped coordinating the fleet", {});
     granting_paused_ = false;
     controller_.reset();
-    server_.refuse_all();
-}
-
-void fleet_role::report_grant_progress(time_point now)
-{
-    for (const auto& [id, progress] : controller_->grant_progress(now)) {
-        const key_coverage& keys = progress.keys;
-        const std::pair<const char*, std::size_t> stages[] = {
-            {"served", keys.served}, {"unconfirmed", keys.unconfirmed},
-            {"lapsed", keys.lapsed},
-            {"awaiting_release", keys.awaiting_release},
-            {"awaiting_token", keys.awaiting_token},
-            {"awaiting_grant", keys.awaiting_grant}};
-        for (const auto& [stage, count] : stages) {
-            metrics_
-                .add_gauge("filberthub_keys",
-                    "Keys of a service by the stage of their grant; of the "
-                    "coordinator only.",
-                    {{"service", id.value()}, {"stage", stage}})
-                .set(static_cast<double>(count));
-        }
-        if (keys.complete())
-            continue;
-        log_event(log_level::info, "keys without an owner",
-            {{log_key::service, id.value()}, {"served", keys.served},
-                {"unconfirmed", keys.unconfirmed}, {"lapsed", keys.lapsed},
-                {"awaiting_release", keys.awaiting_release},
-                {"awaiting_token", keys.awaiting_token},
-                {"awaiting_grant", keys.awaiting_grant},
-                {"open_commands", keys.open_commands},
-                {"table_age_ms", progress.table_age.count()},
-                {"write_open", progress.write_open}});
-    }
+    server_.refuse_all(refusal_text());
 }
 
 void fleet_role::publish_members(time_point now)
@@ -353,6 +326,8 @@
     }
     store_.set_timing(isolated_timing);
     store_.watch_lease(true);
+    if (store_.lease_watch_failing() && !client_.answering())
+        inquiry_.ask(peers_to_ask(), now);
     // While the store does not answer the watch of the lease, calls for all
     // other objects would be refused as well, and each call is billed.
     const bool reachable = store_age(now) < max_reachable_store_age;
@@ -363,24 +338,6 @@
         store_.watch_deployment(view_.objects().complete());
 }
 
-void fleet_role::on_poll(std::shared_ptr<http_exchange> exchange)
-{
-    const time_point now = clock_();
-    if (exchange->request().target == stop_path) {
-        on_stop_request(*exchange);
-        return;
-    }
-    if (!lease_.may_resume() || leaving_) {
-        http_response response;
-        response.status = 409;
-        response.body = "not the coordinator";
-        exchange->respond(std::move(response));
-        return;
-    }
-    server_.on_poll(std::move(exchange), self_.run_id, now);
-    flush_soon();
-}
-
 void fleet_role::on_view_changed()
 {
     flush_soon();
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -10,6 +10,7 @@
 #define FILBERTHUB_ROUTER_FLEET_ROLE_HPP
 
 #include "router/fleet_feed.hpp"
+#include "router/lease_news.hpp"
 #include "router/ownership_controller.hpp"
 #include "router/store_session.hpp"
 
@@ -28,8 +29,8 @@
     // Renews the lease and does the work of the current role. To be called
     // every 100 ms.
     void tick(time_point now);
-    // Handles a poll of another instance, or the message of a successor that
-    // has taken the lease.
+    // Handles a poll of another instance, its question for the lease, or the
+    // message of a successor that has taken the lease.
     void on_poll(std::shared_ptr<http_exchange> exchange);
     // To be called after objects of the view have changed.
     void on_view_changed();
@@ -80,6 +81,15 @@
     void on_predecessor_stopped(
         time_point now, const std::optional<time_point>& leases_before_it_end);
     void on_stop_request(http_exchange& exchange);
+    // Uses what another instance tells about the lease.
+    void on_lease_news(const lease_news& news);
+    // Returns the newest record that this process knows, if there is one.
+    std::optional<lease_news> newest_lease() const;
+    // Returns the body of the answer to a poll that this process refuses.
+    std::string refusal_text() const;
+    // Returns the instances that may know the coordinator, those first that
+    // would have replaced the last one.
+    std::vector<endpoint> peers_to_ask() const;
 
     const route_settings& settings_;
     deployment_view& view_;
@@ -93,6 +103,9 @@
     store_session store_;
     feed_server server_;
     feed_client client_;
+    lease_inquiry inquiry_;
+    // The lease that a successor has told this process.
+    std::optional<lease_news> told_by_successor_;
     // Connection to the coordinator that held the lease before this process.
     std::unique_ptr<http_client> predecessor_client_;
     bool stop_request_open_ = false;
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -78,6 +78,17 @@
     write_uncertain_ = false;
 }
 
+void coordinator_lease::on_told(
+    const lease_record& record, std::uint64_t store_revision, time_point now)
+{
+    if (is_holder() || write_open_ || write_uncertain_ ||
+        (has_read_ && store_revision <= revision_))
+        return;
+    const bool needs_read = needs_read_;
+    on_read(record, store_revision, now);
+    needs_read_ = needs_read;
+}
+
 void coordinator_lease::on_coordinator_answered(time_point now)
 {
     last_answered_ = now;
--- a/test/router/fleet_role_test.cpp
+++ b/test/router/fleet_role_test.cpp
@@ -116,6 +116,19 @@
         answering_ = false;
     }
 
+    // Refuses polls from now on, as it has been replaced by the process with
+    // this lease.
+    void refuse(const lease_news& successor)
+    {
+        refusal_ = encode(successor).dump();
+    }
+
+    // Tells that these instances are members.
+    void publish_members(const std::vector<live_instance>& members)
+    {
+        members_ = deployment_view::encode_members(members);
+    }
+
     std::size_t answered() const
     {
         return answered_;
@@ -128,13 +141,21 @@
             unanswered_.push_back(std::move(exchange));
             return;
         }
+        if (!refusal_.empty()) {
+            http_response response;
+            response.status = 409;
+            response.body = refusal_;
+            exchange->respond(std::move(response));
+            return;
+        }
         ++answered_;
         const std::size_t instances = 295;
         const std::uint64_t version =
             platform_api::removal_version(store_.revision()).value();
         http_response response;
         response.body = json{{"run", record_.run_id}, {"change", 1},
-            {"facts", json::array()}, {"fleet", instances},
+            {"facts", {{deployment_view::members_key, 1, members_, 0}}},
+            {"fleet", instances},
             {"complete", {{"configuration", version}, {"server", version},
                              {"evacuation", version}}},
             {"standbys", {"i-1", "i-2"}},
@@ -150,9 +171,54 @@
     lease_record record_;
     bool answering_ = true;
     std::size_t answered_ = 0;
+    std::string refusal_;
+    std::string members_ = "[]";
     std::vector<std::shared_ptr<http_exchange>> unanswered_;
 };
 
+// Another coordinator, which counts the polls that it gets.
+class second_coordinator
+{
+public:
+    second_coordinator()
+        : listener_({}, [this](std::shared_ptr<http_exchange> exchange) {
+              if (exchange->request().target == lease_path) {
+                  http_response response;
+                  response.body = encode(news()).dump();
+                  exchange->respond(std::move(response));
+                  return;
+              }
+              polls_.push_back(std::move(exchange));
+          })
+    {
+        listener_.listen({"127.0.0.1", 0});
+    }
+
+    endpoint address() const
+    {
+        return listener_.address();
+    }
+
+    lease_news news() const
+    {
+        lease_record record;
+        record.holder = instance_id("i-3");
+        record.address = listener_.address();
+        record.run_id = 12;
+        record.term = 9;
+        return {record, 5'000};
+    }
+
+    std::size_t polls() const
+    {
+        return polls_.size();
+    }
+
+private:
+    std::vector<std::shared_ptr<http_exchange>> polls_;
+    http_listener listener_;
+};
+
 // Guards against keys of all servers that are refused after the loss of the
 // coordinator of a large fleet, because their grants end before there is
 // another one.
@@ -192,6 +258,41 @@
     EXPECT_NE(view.objects().find("server/i-9"), nullptr);
 }
 
+// Guards against instances that use outdated owners and servers until the store
+// answers them again, because only the store tells who coordinates.
+TEST_F(fleet_role_test, LearnsItsCoordinatorFromTheOneBeforeWithoutTheStore)
+{
+    large_fleet_coordinator coordinator(store_);
+    second_coordinator successor;
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, now);
+    ASSERT_TRUE(
+        run_ticks_until(role, [&] { return coordinator.answered() > 3; }));
+    store_.set_failing(true);
+    coordinator.refuse(successor.news());
+    EXPECT_TRUE(run_ticks_until(role, [&] { return successor.polls() > 0; }));
+}
+
+// Guards against the same when the coordinator before is lost.
+TEST_F(fleet_role_test, LearnsItsCoordinatorFromOtherInstancesWithoutTheStore)
+{
+    large_fleet_coordinator coordinator(store_);
+    second_coordinator successor;
+    coordinator.publish_members(
+        {{instance_id("i-3"), successor.address(), 0.5}});
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, now);
+    ASSERT_TRUE(
+        run_ticks_until(role, [&] { return coordinator.answered() > 3; }));
+    store_.set_failing(true);
+    coordinator.stop_answering();
+    EXPECT_TRUE(run_ticks_until(role, [&] { return successor.polls() > 0; }));
+}
+
 // Guards against keys of all servers that are refused after an outage of the
 // store, because the coordinator forgets its grants when its lease lapses.
 TEST_F(fleet_role_test, ContinuesItsGrantsAfterALapseOfItsLease)
--- a/test/routing/coordinator_lease_test.cpp
+++ b/test/routing/coordinator_lease_test.cpp
@@ -311,6 +311,28 @@
     EXPECT_FALSE(lease.holds(at_ms(900)));
 }
 
+// Guards against two coordinators: news of other instances may be older than
+// what this process has read, or than its write without an answer.
+TEST(CoordinatorLease, UsesOnlyNewerNewsOfOtherInstances)
+{
+    coordinator_lease lease = lease_of("b", 2);
+    lease.on_told(record_of("a", 1), 7, at_ms(0));
+    ASSERT_TRUE(lease.record());
+    EXPECT_EQ(lease.record()->holder.value(), "a");
+    // Only a read of the store shows that the lease may be taken.
+    EXPECT_FALSE(lease.next_write(at_ms(60'000)));
+    lease.on_told(record_of("c", 3), 6, at_ms(10));
+    EXPECT_EQ(lease.record()->holder.value(), "a");
+    lease.on_read(record_of("a", 1), 8, at_ms(20));
+    ASSERT_TRUE(lease.next_write(at_ms(60'000)));
+    lease.on_told(record_of("c", 3), 9, at_ms(60'010));
+    EXPECT_EQ(lease.record()->holder.value(), "a");
+    lease.on_written(10, at_ms(60'020));
+    ASSERT_TRUE(lease.holds(at_ms(60'030)));
+    lease.on_told(record_of("c", 3), 11, at_ms(60'040));
+    EXPECT_TRUE(lease.holds(at_ms(60'050)));
+}
+
 // Guards against an outdated read that replaces a newer record.
 TEST(CoordinatorLease, IgnoresAnOlderRevision)
 {
