Handle other events between the commands to servers

After a takeover grants have no answer in time.

Cause: at 32.55 s the coordinator sends the grants of 809 ranges, each over a connection to be opened, in one turn of its event loop, which is delayed by 0.49 and 0.42 s. The polls that arrive meanwhile, and the answers of the servers, wait.

Change: at most 32 commands of a service in a turn; the others follow after other events, each range in its turn. The queries of the granter and the publication of owners are in files of their own, without changes.

Tests: ownership_controller_test.HandlesOtherEventsBetweenManyCommands, which failed before (437 commands in a turn, expected less than 108); KeyGranter.SendsTheCommandsOfAllRangesInTurn (new interface).

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -12,6 +12,7 @@
 
 #include <filberthub/routing/key_table.hpp>
 
+#include <limits>
 #include <map>
 
 namespace filberthub {
@@ -131,9 +132,10 @@
     // whether the server owns keys.
     bool on_connection_lost(const backend_server_id& server);
 
-    // Returns the commands to send now. `on_reply` has to be called once for
-    // each of them.
-    std::vector<grant_command> due(time_point now);
+    // Returns commands to send now, about `limit` at most. The next call goes
+    // on with the ranges after them. `on_reply` has to be called once for each.
+    std::vector<grant_command> due(time_point now,
+        std::size_t limit = std::numeric_limits<std::size_t>::max());
     void on_reply(command_number number, grant_reply reply,
         const std::string& handover, time_point now);
 
@@ -232,6 +234,8 @@
     std::map<command_number, open_command> open_commands_;
     std::map<server_incarnation, server_silence> unanswered_;
     command_number last_command_;
+    // The range for which `due` has looked last.
+    fencing_token last_due_;
     std::uint64_t granted_version_ = 0;
 };
 
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -28,8 +28,9 @@
 // Part of the usual capacity of a cold server: requests take it twice as long,
 // and the limit for cold servers leaves room for this part.
 constexpr double cold_capacity_factor = 0.4;
-// Position of the term in the version of an object with served key ranges.
-constexpr unsigned term_shift = 32;
+// Each command costs a connection or a write. The commands for all ranges after
+// a takeover would keep the coordinator from answering other instances.
+constexpr std::size_t max_commands_per_turn = 32;
 
 // A pause of this length between the ticks of the coordinator means that its
 // event loop was delayed: time-outs are over before answers are read.
@@ -65,6 +66,9 @@
     advance_timer_.setSingleShot(true);
     QObject::connect(
         &advance_timer_, &QTimer::timeout, [this] { advance(clock_()); });
+    command_timer_.setSingleShot(true);
+    QObject::connect(&command_timer_, &QTimer::timeout,
+        [this] { send_due_commands(clock_()); });
     read_tables();
 }
 
@@ -123,9 +127,9 @@
         }
         if (!service.keys.active())
             continue;
-        send_commands(id, service, now);
         publish(id, service, now);
     }
+    send_due_commands(now);
 }
 
 // Replaces servers that have restarted under the same id by their present
@@ -189,10 +193,25 @@
         write(id, *next);
 }
 
-void ownership_controller::send_commands(
+void ownership_controller::send_due_commands(time_point now)
+{
+    if (now >= lease_end_)
+        return;
+    bool more = false;
+    for (auto& [id, service] : services_) {
+        if (service.keys.active())
+            more |= send_commands(id, service, now) >= max_commands_per_turn;
+    }
+    if (more)
+        command_timer_.start(0);
+}
+
+std::size_t ownership_controller::send_commands(
     const service_id& id, service_ownership& service, time_point now)
 {
-    for (const grant_command& command : service.keys.granter().due(now)) {
+    const auto commands =
+        service.keys.granter().due(now, max_commands_per_turn);
+    for (const grant_command& command : commands) {
         if (view_.incarnation_of(command.server.id)) {
             send_command(id, command);
             continue;
@@ -205,6 +224,7 @@
             service.keys.granter().on_reply(
                 command.number, grant_reply::unclear, {}, now);
     }
+    return commands.size();
 }
 
 http_client& ownership_controller::client_of(const backend_server_id& id)
@@ -312,41 +332,6 @@
         command.release ? connection_choice::unused : connection_choice::any);
 }
 
-void ownership_controller::publish(
-    const service_id& id, service_ownership& service, time_point now)
-{
-    const key_granter& granter = service.keys.granter();
-    if (service.published_version == granter.granted_version())
-        return;
-    service.published_version = granter.granted_version();
-    const auto parts = deployment_view::encode_served_ranges(granter.granted());
-    service.published_parts.resize(parts.size());
-    view_.update_together([&] {
-        for (std::size_t part = 0; part < parts.size(); ++part) {
-            if (service.published_parts[part] == parts[part])
-                continue;
-            service.published_parts[part] = parts[part];
-            publish_part(id, part, parts[part], now);
-        }
-    });
-}
-
-void ownership_controller::publish_part(const service_id& id, std::size_t part,
-    const std::string& text, time_point now)
-{
-    const std::string key = deployment_view::served_key(id, part);
-    // This process may have published in the same term before its lease lapsed.
-    const versioned_object* known = view_.objects().find(key);
-    if (known != nullptr && known->version.value() >> term_shift == term_) {
-        publication_count_ = std::max(
-            publication_count_, known->version.value() - (term_ << term_shift));
-    }
-    ++publication_count_;
-    view_.update(
-        {key, object_version((term_ << term_shift) + publication_count_), text},
-        now);
-}
-
 std::map<service_id, ownership_controller::progress>
 ownership_controller::grant_progress(time_point now) const
 {
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -83,7 +83,11 @@
         platform_api::store_outcome outcome, const std::string& body);
     // Reads the stored table to find out whether the last write succeeded.
     void read_back(const service_id& id);
-    void send_commands(
+    // Sends some of the commands that are due, so that other events are handled
+    // before the rest.
+    void send_due_commands(time_point now);
+    // Returns the number of commands sent.
+    std::size_t send_commands(
         const service_id& id, service_ownership& service, time_point now);
     void send_command(const service_id& id, const grant_command& command);
     void publish(
@@ -120,6 +124,8 @@
     time_point late_until_;
     // Runs `advance` some time after an answer of a server.
     QTimer advance_timer_;
+    // Runs `send_due_commands` after other events.
+    QTimer command_timer_;
 };
 
 } // namespace filberthub
--- a/src/router/ownership_tables.cpp
+++ b/src/router/ownership_tables.cpp
@@ -1,4 +1,5 @@
-// Reads and writes of the ownership tables by `ownership_controller`.
+// Reads and writes of the ownership tables by `ownership_controller`, and what
+// it publishes of them.
 
 #include "router/ownership_controller.hpp"
 
@@ -11,6 +12,8 @@
 using platform_api::store_outcome;
 
 constexpr milliseconds table_read_retry{400};
+// Position of the term in the version of an object with served key ranges.
+constexpr unsigned term_shift = 32;
 
 } // namespace
 
@@ -129,4 +132,39 @@
         });
 }
 
+void ownership_controller::publish(
+    const service_id& id, service_ownership& service, time_point now)
+{
+    const key_granter& granter = service.keys.granter();
+    if (service.published_version == granter.granted_version())
+        return;
+    service.published_version = granter.granted_version();
+    const auto parts = deployment_view::encode_served_ranges(granter.granted());
+    service.published_parts.resize(parts.size());
+    view_.update_together([&] {
+        for (std::size_t part = 0; part < parts.size(); ++part) {
+            if (service.published_parts[part] == parts[part])
+                continue;
+            service.published_parts[part] = parts[part];
+            publish_part(id, part, parts[part], now);
+        }
+    });
+}
+
+void ownership_controller::publish_part(const service_id& id, std::size_t part,
+    const std::string& text, time_point now)
+{
+    const std::string key = deployment_view::served_key(id, part);
+    // This process may have published in the same term before its lease lapsed.
+    const versioned_object* known = view_.objects().find(key);
+    if (known != nullptr && known->version.value() >> term_shift == term_) {
+        publication_count_ = std::max(
+            publication_count_, known->version.value() - (term_ << term_shift));
+    }
+    ++publication_count_;
+    view_.update(
+        {key, object_version((term_ << term_shift) + publication_count_), text},
+        now);
+}
+
 } // namespace filberthub
--- a/test/router/ownership_controller_test.cpp
+++ b/test/router/ownership_controller_test.cpp
@@ -235,6 +235,40 @@
     EXPECT_LT(view_.objects().last_change() - changes, servers / 2);
 }
 
+// Guards against a new coordinator of a large fleet that does not answer other
+// instances while it sends the grants of all ranges.
+TEST_F(ownership_controller_test, HandlesOtherEventsBetweenManyCommands)
+{
+    constexpr std::size_t servers = 433;
+    std::vector<std::shared_ptr<http_exchange>> open;
+    http_listener slow({}, [&](const std::shared_ptr<http_exchange>& exchange) {
+        open.push_back(exchange);
+    });
+    slow.listen({"127.0.0.1", 0});
+    for (std::size_t number = 0; number < servers; ++number) {
+        put_server("i-" + std::to_string(number), number + 2, slow.address(),
+            number + 1);
+    }
+    ownership_controller controller = make_controller();
+    std::size_t sent = 0;
+    std::size_t most_in_a_turn = 0;
+    QTimer each_turn;
+    QObject::connect(&each_turn, &QTimer::timeout, [&] {
+        for (const auto& [id, progress] : controller.grant_progress(now())) {
+            const std::size_t commands = progress.keys.open_commands;
+            if (commands > sent)
+                most_in_a_turn = std::max(most_in_a_turn, commands - sent);
+            sent = commands;
+        }
+    });
+    each_turn.start(0);
+    ASSERT_TRUE(run_until([&] {
+        controller.advance(now());
+        return open.size() >= servers;
+    }));
+    EXPECT_LT(most_in_a_turn, servers / 4);
+}
+
 // Guards against a coordinator that plans, and looks at all ranges, after each
 // renewal, from which nothing follows: small processors fell behind.
 TEST_F(ownership_controller_test, DoesNothingForARenewal)
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -131,6 +131,30 @@
     EXPECT_FALSE(granter_.coverage(at_ms(30)).complete());
 }
 
+// Guards against grants that are never renewed because the commands for other
+// ranges go first.
+TEST_F(KeyGranter, SendsTheCommandsOfAllRangesInTurn)
+{
+    std::vector<key_range> ranges;
+    for (key_number first = 0; first < 10; ++first)
+        ranges.push_back(range_of(first, first, "a", first + 2));
+    granter_.take_over(table_of(ranges), at_ms(0), at_ms(0));
+    std::map<std::uint64_t, int> sent;
+    for (std::int64_t ms = 0; ms < 10; ++ms) {
+        const auto commands = granter_.due(at_ms(ms), 3);
+        EXPECT_LE(commands.size(), 3U);
+        for (const grant_command& command : commands) {
+            ++sent[command.token.value()];
+            // Due again at once.
+            granter_.on_reply(
+                command.number, grant_reply::unsent, "", at_ms(ms - 1'000));
+        }
+    }
+    EXPECT_THAT(sent, SizeIs(10));
+    for (const auto& [token, count] : sent)
+        EXPECT_EQ(count, 3) << token;
+}
+
 // Guards against keys that the logs count as served although their servers
 // refuse all requests, because no coordinator has renewed the grants.
 TEST_F(KeyGranter, TellsKeysWhoseGrantMayHaveEnded)
