Log updates of servers on the coordinator only

Change: updates that are no drain are logged by the coordinator, and with level debug by others; removals and drains by all as before. The lines `grant not accepted` and `keys released` tell which server has answered.

Test: DeploymentView.LogsUpdatesOfServersOnTheCoordinatorOnly (new interface).

--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -198,8 +198,9 @@
     try {
         const server_entry entry =
             platform_api::decode_server(name, *object.value);
-        // At the start there is one for each server of the deployment.
-        log_event(first_servers_logged_ ? log_level::info : log_level::debug,
+        // Each server has one at the start and one for each step of its
+        // warm-up.
+        log_event(is_news(entry) ? log_level::info : log_level::debug,
             "server entry updated",
             {{log_key::server, name}, {log_key::service, entry.service.value()},
                 {"draining", entry.draining},
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -72,6 +72,13 @@
     // Applies the deferred removals that are due. To be called at each tick.
     void apply_deferred_removals(time_point now);
 
+    // Sets whether each update of a server is logged, as one instance of the
+    // fleet should do. Others log servers that start to drain or are removed.
+    void log_all_updates(bool enabled)
+    {
+        logs_all_updates_ = enabled;
+    }
+
     // Applies objects together: the function set with `on_change` is called
     // once at the end.
     template <class Function>
@@ -183,6 +190,11 @@
     void apply_members(const versioned_object& object);
     void apply_served(const versioned_object& object);
     void report_change();
+    // Whether the update of a server is logged.
+    bool is_news(const server_entry& entry) const
+    {
+        return first_servers_logged_ && (logs_all_updates_ || entry.draining);
+    }
     void end_batch();
     void refresh_servers(time_point now);
 
@@ -205,6 +217,7 @@
     bool change_pending_ = false;
     // Whether the first entries of servers were logged as a number.
     bool first_servers_logged_ = false;
+    bool logs_all_updates_ = false;
     std::function<void()> change_callback_;
     std::size_t fleet_size_;
     std::optional<time_point> fleet_size_updated_;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -217,6 +217,7 @@
 void fleet_role::coordinate(time_point now)
 {
     client_.follow(std::nullopt);
+    view_.log_all_updates(true);
     store_.set_timing(coordinator_timing);
     store_.watch_deployment(view_.objects().complete());
     store_.watch_lease(false);
@@ -301,6 +302,7 @@
 {
     if (controller_)
         stop_coordinating();
+    view_.log_all_updates(false);
     const auto& record = lease_.record();
     const bool follows_other =
         record && !record->holder.empty() && record->run_id != self_.run_id;
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -36,13 +36,19 @@
 // event loop was delayed: time-outs are over before answers are read.
 constexpr milliseconds max_tick_pause{250};
 
+// Returns the id of the server that has answered, if it tells.
+std::string_view answering_server(const http_response& response)
+{
+    return response.headers.get(platform_api::header::answering_server)
+        .value_or("");
+}
+
 bool answered_by_another(
     const http_response& response, const backend_server_id& expected)
 {
-    const auto answering =
-        response.headers.get(platform_api::header::answering_server);
-    return response.status == 421 && answering &&
-           *answering != expected.value();
+    const std::string_view answering = answering_server(response);
+    return response.status == 421 && !answering.empty() &&
+           answering != expected.value();
 }
 
 } // namespace
@@ -304,6 +310,9 @@
                         {log_key::token, command.token.value()},
                         {log_key::status,
                             result.response ? result.response->status : 0},
+                        {"answered_by", result.response
+                                            ? answering_server(*result.response)
+                                            : std::string_view()},
                         {log_key::error, result.message}});
             }
             service_ownership& service = services_.at(id);
--- a/test/router/fleet_timing_test.cpp
+++ b/test/router/fleet_timing_test.cpp
@@ -8,8 +8,12 @@
 #include <filberthub/routing/key_granter.hpp>
 
 #include <gtest/gtest.h>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include <filberthub/telemetry/log.hpp>
 
 #include <set>
+#include <sstream>
 
 namespace filberthub {
 namespace {
@@ -192,6 +196,34 @@
         fleet_timing::standby().poll_timeout());
 }
 
+// Guards against logs whose lines of requests are dropped, because each
+// instance logs each step of the warm-up of hundreds of servers.
+TEST(DeploymentView, LogsUpdatesOfServersOnTheCoordinatorOnly)
+{
+    std::ostringstream text;
+    start_logging(std::make_shared<spdlog::sinks::ostream_sink_mt>(text),
+        log_level::info, "i-1");
+    deployment_view view((route_settings()));
+    const time_point now{std::chrono::hours(1)};
+    std::uint64_t version = 0;
+    const auto lines_after_update = [&](const std::string& state) {
+        text.str("");
+        const json entry{{"Service", "maps"}, {"Address", "127.0.0.1:9"},
+            {"Zone", "a"}, {"Capacity", 2}, {"State", state},
+            {"WarmupLeftMs", 1'000 - version}};
+        view.update(
+            {"server/i-1", object_version(++version), entry.dump()}, now);
+        const std::string logged = text.str();
+        return std::count(logged.begin(), logged.end(), '\n');
+    };
+    lines_after_update("ready");
+    EXPECT_EQ(lines_after_update("ready"), 0);
+    EXPECT_EQ(lines_after_update("draining"), 1);
+    view.log_all_updates(true);
+    EXPECT_EQ(lines_after_update("ready"), 1);
+    start_logging(make_log_sink("off"), log_level::error, "");
+}
+
 // Guards against a coordinator that cannot send the view to a large fleet
 // before it is replaced, as after a fresh start of all instances.
 TEST_F(large_feed_test, SendsTheWholeViewBeforeAnotherInstanceTakesOver)
