--- a/src/routing/standbys.cpp
+++ b/src/routing/standbys.cpp
@@ -33,6 +33,7 @@
     if (candidates.size() > max_standbys)
         candidates.resize(max_standbys);
     std::vector<instance_id> standbys;
+    standbys.reserve(candidates.size());
     for (const standby_candidate& candidate : candidates)
         standbys.push_back(candidate.id);
     return standbys;
