Authenticate callers by the API keys of client accounts

Cause: the configuration may now contain client accounts (Tenants) whose keys callers must send, except on public routes. None of it was read.

Change: platform/object_codec decodes Tenants and Public, client_accounts looks up keys, and caller_service checks each request after its route is found, again when a new configuration is applied, and before each attempt. A revoked request that has not run gets 401 and is not sent. Servers get X-Filberthub-Tenant; a value from the caller is removed always. On protected routes all Authorization fields are removed, on public ones those of the scheme Bearer, because a key may not be known here yet. An empty list of accounts closes the routes. Errors do not show keys.

Tests: router_test caller_accounts_test.* (5) and router_test.* (5), platform_adapter_test (24) pass. RejectsAWaitingRequestWhoseKeyIsRevoked was not yet seen to fail without the second check.

Cost: one hash lookup for each request, and one for each unsent request and new configuration.

--- a/include/filberthub/routing/route_table.hpp
+++ b/include/filberthub/routing/route_table.hpp
@@ -8,6 +8,7 @@
 #define FILBERTHUB_ROUTING_ROUTE_TABLE_HPP
 
 #include <filberthub/base/types.hpp>
+#include <filberthub/routing/client_accounts.hpp>
 
 #include <cstddef>
 #include <map>
@@ -43,6 +44,8 @@
     unsigned attempts = 1;
     // 0 is the most urgent.
     unsigned urgency = 0;
+    // Whether callers need no API key.
+    bool is_public = false;
     // Never empty.
     std::vector<service_share> shares;
 };
@@ -83,6 +86,8 @@
     std::vector<route_rule> routes;
     std::map<service_id, service_rule> services;
     caller_limits limits;
+    // Nothing if callers need no API keys.
+    std::optional<std::vector<client_account>> accounts;
 };
 
 // Immutable lookup table. Among the routes of a host, the one with the longest
@@ -101,6 +106,11 @@
     // Returns the rule of a service, or null.
     const service_rule* service(const service_id& id) const;
 
+    const client_accounts& accounts() const
+    {
+        return accounts_;
+    }
+
     const routing_config& config() const
     {
         return config_;
@@ -108,6 +118,7 @@
 
 private:
     routing_config config_;
+    client_accounts accounts_;
     // Indexes of the routes of each host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
 };
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -96,6 +96,8 @@
 {
     if (request->finished || request->waiting_for_slot)
         return;
+    if (!confirm_account(request))
+        return;
     const time_point now = clock_();
     if (now + min_attempt_time >= request->state.answer_deadline) {
         fail(request, failure_of(request->state, true, retry_delay),
@@ -132,7 +134,7 @@
         request->exchange->request().body.size() > large_body_bytes
             ? cross_domain_cost_large_body
             : cross_domain_cost;
-    slot.urgency = request->route->urgency;
+    slot.urgency = request->urgency();
     slot.target_time = request->arrived + request->route->latency_target;
     slot.answer_deadline = request->state.answer_deadline;
     const std::weak_ptr<caller_request> weak_request = request;
@@ -245,6 +247,7 @@
 
 void caller_service::on_view_changed()
 {
+    confirm_accounts();
     move_waiting();
     withdraw_unsent();
     retry_waiting();
@@ -296,7 +299,7 @@
     // longest.
     std::stable_sort(waiting.begin(), waiting.end(),
         [](const request_ptr& left, const request_ptr& right) {
-            return left->route->urgency < right->route->urgency;
+            return left->urgency() < right->urgency();
         });
     for (const request_ptr& request : waiting) {
         request->waiting_for_retry = false;
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -25,6 +25,10 @@
     // Keeps `route` valid while the configuration changes.
     std::shared_ptr<const route_table> routes;
     const route_rule* route = nullptr;
+    // The configuration in which the account was looked up, and keeps valid.
+    std::shared_ptr<const route_table> account_source;
+    // Null if the request needs no API key.
+    const client_account* account = nullptr;
     service_id service;
     std::optional<key_number> key;
     // From the caller; empty if it sent none.
@@ -56,6 +60,13 @@
     bool waiting_for_slot = false;
     // In the list of open requests.
     std::list<request_ptr>::iterator position;
+
+    // 0 is the most urgent.
+    unsigned urgency() const
+    {
+        return account != nullptr && account->urgency ? *account->urgency
+                                                      : route->urgency;
+    }
 };
 
 } // namespace filberthub
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -232,6 +232,8 @@
     if (answer.retry_after)
         response.headers.set(
             header::retry_after, format_seconds(*answer.retry_after));
+    if (answer.status == 401)
+        response.headers.set("WWW-Authenticate", "Bearer");
     if (!request->id.empty())
         response.headers.set(header::request_id, request->id);
     response.headers.set("Content-Type", "text/plain");
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -47,6 +47,8 @@
           "Requests by outcome.", {{"outcome", "unknown"}})),
       repeats_(metrics.add_counter(
           "filberthub_repeats_total", "Attempts after the first one.")),
+      unknown_keys_(metrics.add_counter("filberthub_unknown_keys_total",
+          "Requests with a missing, unknown or revoked API key.")),
       sends_to_leaving_servers_(
           metrics.add_counter("filberthub_sends_to_leaving_servers_total",
               "Requests sent after their server was known to leave.")),
@@ -98,6 +100,10 @@
         fail(request, {404, std::nullopt}, "no route");
         return;
     }
+    if (!identify_account(*request, request->routes)) {
+        reject_key(request);
+        return;
+    }
     start_request(request);
 }
 
@@ -142,6 +148,7 @@
     copy.headers = original.headers;
     copy.body = original.body;
     remove_hop_by_hop_fields(copy.headers);
+    set_account_field(request, copy.headers);
     copy.headers.set(header::deadline,
         std::to_string(std::max<std::int64_t>(
             elapsed(now, request.state.answer_deadline).count(), 1)));
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -65,6 +65,13 @@
     struct caller_request;
     using request_ptr = std::shared_ptr<caller_request>;
 
+    bool identify_account(caller_request& request,
+        const std::shared_ptr<const route_table>& routes) const;
+    bool confirm_account(const request_ptr& request);
+    void confirm_accounts();
+    static void set_account_field(
+        const caller_request& request, http_headers& headers);
+    void reject_key(const request_ptr& request);
     void withdraw_unsent();
     void move_waiting();
     void record_announcements(const caller_request& request,
@@ -119,6 +126,8 @@
     // Retry budgets.
     std::map<service_id, window_budget> budgets_;
     load_counts counts_;
+    // The configuration that all unsent requests were checked against.
+    std::shared_ptr<const route_table> confirmed_routes_;
     QTimer retry_timer_;
     // Set once the process was told to stop.
     std::optional<shutdown_plan> shutdown_;
@@ -128,6 +137,7 @@
     counter& not_run_;
     counter& unknown_;
     counter& repeats_;
+    counter& unknown_keys_;
     counter& sends_to_leaving_servers_;
     histogram& connection_wait_;
     histogram& latency_;
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-route_table::route_table(routing_config config) : config_(std::move(config))
+route_table::route_table(routing_config config)
+    : config_(std::move(config)), accounts_(config_.accounts)
 {
     for (std::size_t index = 0; index < config_.routes.size(); ++index)
         by_host_[normalize_host(config_.routes[index].host)].push_back(index);
--- a/test/platform_adapter/adapter_test.cpp
+++ b/test/platform_adapter/adapter_test.cpp
@@ -78,6 +78,84 @@
     EXPECT_EQ(config.limits.idle_timeout, milliseconds(15'000));
 }
 
+// Guards against routes that are open because their accounts were not read: an
+// empty list is not a missing one.
+TEST(decode_config_test, DecodesAccounts)
+{
+    const std::string head = R"({"Version":"07","Routes":[{"Hostname":"h",
+        "PathPrefix":"/","RouteType":"safe","Service":"s","Public":true}],
+        "Services":[])";
+    const routing_config config = decode_config(
+        head +
+        R"(,"Tenants":[{"Name":"cuka620","ApiKeys":["k-1","k-2"],"Priority":0,
+        "RatePerS":389,"Burst":38.5},{"Name":"free","ApiKeys":[]}]})");
+    EXPECT_TRUE(config.routes.at(0).is_public);
+    ASSERT_TRUE(config.accounts);
+    ASSERT_EQ(config.accounts->size(), 2U);
+    const client_account& first = config.accounts->front();
+    EXPECT_EQ(first.keys, (std::vector<std::string>{"k-1", "k-2"}));
+    EXPECT_EQ(first.urgency, 0U);
+    EXPECT_EQ(first.limit, (account_limit{389, 38.5}));
+    EXPECT_FALSE(config.accounts->back().urgency);
+    EXPECT_FALSE(config.accounts->back().limit);
+    EXPECT_TRUE(decode_config(head + R"(,"Tenants":[]})").accounts);
+    EXPECT_FALSE(decode_config(head + R"(,"Tenants":null})").accounts);
+    EXPECT_FALSE(decode_config(head + "}").accounts);
+}
+
+// Guards against a name or key that splits a header field, and against a key in
+// a log line.
+TEST(decode_config_test, RejectsMalformedAccounts)
+{
+    for (const char* account : {R"({"Name":"a\r\nb"})", R"({"Name":""})",
+             R"({"Name":"a","ApiKeys":["secret\n"]})",
+             R"({"Name":"a","ApiKeys":"secret"})",
+             R"({"Name":"a","RatePerS":-1})"}) {
+        try {
+            decode_config(R"({"Version":"07","Routes":[],"Services":[],
+                "Tenants":[)" +
+                          std::string(account) + "]}");
+            ADD_FAILURE() << account;
+        } catch (const error& failure) {
+            EXPECT_THAT(failure.what(), HasSubstr("Tenants/0"));
+            EXPECT_THAT(failure.what(), testing::Not(HasSubstr("secret")));
+        }
+    }
+}
+
+// Guards against a server that reads another key than the one that was checked.
+TEST(decode_api_key_test, ReadsTheOnlyBearerKey)
+{
+    http_headers headers;
+    EXPECT_FALSE(decode_api_key(headers));
+    headers.set("Authorization", "bEARER \t k-1 ");
+    EXPECT_EQ(decode_api_key(headers), "k-1");
+    headers.add("authorization", "Bearer k-2");
+    EXPECT_FALSE(decode_api_key(headers));
+    for (const char* text : {"Basic k-1", "k-1", "", "Bearerk-1"}) {
+        headers.set("Authorization", text);
+        EXPECT_FALSE(decode_api_key(headers)) << text;
+    }
+}
+
+// Guards against a key in one of several fields that reaches a server.
+TEST(set_account_test, RemovesCredentials)
+{
+    http_headers headers;
+    headers.set("Authorization", "Basic abc");
+    headers.add("authorization", "bearer k-1");
+    headers.set("x-filberthub-tenant", "forged");
+    headers.add("X-Filberthub-Tenant", "forged");
+    set_account(headers, credentials::keep, "");
+    EXPECT_EQ(headers.fields().size(), 2U);
+    set_account(headers, credentials::remove_keys, "");
+    ASSERT_EQ(headers.fields().size(), 1U);
+    EXPECT_EQ(headers.get("Authorization"), "Basic abc");
+    set_account(headers, credentials::remove, "a");
+    ASSERT_EQ(headers.fields().size(), 1U);
+    EXPECT_EQ(headers.get("X-Filberthub-Tenant"), "a");
+}
+
 // Guards against a configuration error that the operator cannot find.
 TEST(decode_config_test, ReportsTheMalformedField)
 {
