--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -86,15 +86,16 @@
 };
 
 // Grants each server at most one request more than it has slots. Each queued
-// request gets exactly one further decision, unless `finish` removes it.
+// request gets exactly one further decision, unless `finish` removes it or the
+// request is asked about again.
 // Requires regular calls of `sweep`.
 class slot_gate
 {
 public:
     slot_gate(const server_pool& pool, cold_bound bound);
 
-    // Decides about a request or adds it to the queue. A request whose id is
-    // running or queued is ignored.
+    // Decides about a request or adds it to the queue. If a request of this id
+    // is running or queued, tells its server or its present wait.
     std::vector<gate_decision> request_slot(
         slot_request request, time_point now);
 
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -125,7 +125,8 @@
             queue->second.end(), [&](const slot_request& other) {
                 // Requests of the same urgency are served in the order of
                 // arrival.
-                return !is_served_before(request, other, now, work);
+                return other.id != request.id &&
+                       !is_served_before(request, other, now, work);
             }));
     }
     return static_cast<double>(ahead) / rate;
@@ -135,12 +136,21 @@
     slot_request request, time_point now)
 {
     std::vector<gate_decision> decisions;
-    if (running_.contains(request.id))
+    const auto running = running_.find(request.id);
+    if (running != running_.end()) {
+        // The decision was lost, or is on its way.
+        decisions.push_back({request.id, slot_decision::granted,
+            running->second.server, milliseconds(0)});
         return decisions;
+    }
     auto& queue = queues_[request.group];
-    if (std::any_of(queue.begin(), queue.end(),
-            [&](const slot_request& other) { return other.id == request.id; }))
+    if (std::any_of(queue.begin(), queue.end(), [&](const slot_request& other) {
+            return other.id == request.id;
+        })) {
+        decisions.push_back({request.id, slot_decision::queued, {},
+            round_to_milliseconds(expected_wait_ms(request, now))});
         return decisions;
+    }
     // Queued requests found no free slot either, unless a server has joined
     // since.
     if (const auto server =
--- a/test/routing/slot_gate_test.cpp
+++ b/test/routing/slot_gate_test.cpp
@@ -57,6 +57,28 @@
     slot_gate gate_{pool_, bound};
 };
 
+// Guards against a request that is lost with the datagram of its decision, or
+// that does not learn its present wait: the gate ignored repeated questions.
+TEST_F(SlotGate, AnswersARepeatedQuestion)
+{
+    for (std::uint64_t number = 1; number <= 3; ++number)
+        request_slot(request(number, 0), 0);
+    const auto running = gate_.request_slot(request(1, 0), at_ms(5));
+    ASSERT_THAT(running, SizeIs(1));
+    EXPECT_EQ(running[0].decision, slot_decision::granted);
+    EXPECT_EQ(running[0].server.value(), "s1");
+    for (std::uint64_t number = 4; number <= 6; ++number)
+        request_slot(request(number, 0), 0);
+    const auto first = gate_.request_slot(request(6, 0), at_ms(5));
+    ASSERT_THAT(first, SizeIs(1));
+    EXPECT_EQ(first[0].decision, slot_decision::queued);
+    EXPECT_EQ(gate_.waiting(), 3U);
+    finish(1, 20);
+    const auto later = gate_.request_slot(request(6, 0), at_ms(25));
+    ASSERT_THAT(later, SizeIs(1));
+    EXPECT_LT(later[0].wait, first[0].wait);
+}
+
 // Guards against slots that are idle for a round trip, and against long queues
 // at a server.
 TEST_F(SlotGate, GrantsOneRequestMoreThanAServerHasSlots)
