Keep queued requests at their gates and ask again when overdue

Cause: gate_service took a long wait for a lost gate. It now follows gate_liveness, reads all datagrams before it judges a host, asks the new host when a gate moves, and returns grants that it no longer needs. Numbers start at the boot time, since a gate now answers for numbers that it knows. Requests sent without a gate are bounded by the known load of the server and the share of the instance, and counted by reason; rejections too. A gate refuses requests that no server may take: they were bounded before only by the instance giving up on the gate.

Tests: SlotGate.RefusesWhatNoServerMayTake is new. Three router tests (DoesNotSendAWaitingRequestTo{ALeaving,ARemoved}Server, SendsNothingToAServerThatRests) failed without that refusal and hold with it. router_test, server_answers_test, stopping_router_test and GateService hold; the rest of router_test held just before the refusal was added.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -177,6 +177,11 @@
     // The same for the owner of a key; see `allows_assigned`.
     bool may_send_keyed(const observed_server& server, time_point now) const;
 
+    // Whether a request may be sent to the server without a slot of its gate.
+    // False if it is known to have more requests than it can queue for sure.
+    bool accepts_without_gate(
+        const observed_server& server, time_point now) const;
+
     // Returns the server with the shortest expected time among a random sample,
     // or nothing if no server may be used.
     std::optional<backend_server_id> choose(const service_id& service,
--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -54,6 +54,8 @@
     // An answer before this time has its full value.
     time_point target_time;
     time_point answer_deadline;
+    // Set by the gate.
+    time_point queued_at;
 };
 
 // The answer to a request for a slot.
@@ -162,6 +164,9 @@
         const server_list& servers, time_point now) const;
     bool is_not_excluded(
         const slot_request& request, const observed_server& server) const;
+    // Whether there are servers but the request excludes all of them.
+    bool excludes_all(
+        const slot_request& request, const server_list& servers) const;
     gate_decision grant(const slot_request& request,
         const backend_server_id& server, time_point now);
     // Throughput of the servers that may run the request.
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -62,6 +62,8 @@
         return "the owner of the key has failed";
     if (!servers.allows_assigned(*server, true, now))
         return "the owner of the key takes no requests";
+    if (!servers.accepts_without_gate(*server, now))
+        return "the owner of the key is full and its gate is not reachable";
     return "the owner of the key is cold";
 }
 
@@ -80,8 +82,13 @@
 std::optional<backend_server_id> caller_service::choose_server(
     caller_request& request, time_point now)
 {
-    if (request.state.keyed)
-        return usable_owner(request, now);
+    if (request.state.keyed) {
+        auto owner = usable_owner(request, now);
+        if (owner && !view_.servers().accepts_without_gate(
+                         *view_.servers().find(*owner), now))
+            owner.reset();
+        return owner;
+    }
     placement_request placement;
     placement.cross_domain_cost =
         request.exchange->request().body.size() > large_body_bytes
@@ -107,7 +114,7 @@
         return;
     }
     if (!request_gate_slot(request, now))
-        send_without_gate(request, now);
+        send_without_gate(request, now, "no reachable gate");
 }
 
 // Requests a slot from the gate of the key's owner, or of a group of servers.
@@ -153,14 +160,20 @@
     if (request->finished)
         return;
     const time_point now = clock_();
+    if (reply.told_wait)
+        told_wait_.add(static_cast<double>(reply.told_wait->count()));
     switch (reply.decision) {
     case gate_reply::kind::unreachable:
+    case gate_reply::kind::no_reply: {
+        const bool silent = reply.decision == gate_reply::kind::unreachable;
         request->slot_number.reset();
         log_event(log_level::info, "gate did not answer",
             {{log_key::request_id, request->id},
-                {log_key::service, request->service.value()}});
-        send_without_gate(request, now);
+                {log_key::service, request->service.value()},
+                {"host_silent", silent}});
+        send_without_gate(request, now, silent ? "host is silent" : "no reply");
         return;
+    }
     case gate_reply::kind::refused:
         request->slot_number.reset();
         fail(request, failure_of(request->state, false, reply.wait),
@@ -180,6 +193,8 @@
                                     view_.servers().may_send_keyed(*server, now)
                               : view_.servers().usable(*server));
     if (fits) {
+        gate_wait_.add(
+            static_cast<double>(elapsed(request->arrived, now).count()));
         send(request, reply.server, now);
         return;
     }
@@ -188,7 +203,7 @@
     report_to_gate(*request,
         withdrawn ? send_outcome::cancelled : send_outcome::unreachable,
         milliseconds(0), std::nullopt);
-    send_without_gate(request, now);
+    send_without_gate(request, now, "granted server is not usable");
 }
 
 void caller_service::report_to_gate(caller_request& request,
@@ -202,10 +217,17 @@
 }
 
 void caller_service::send_without_gate(
-    const request_ptr& request, time_point now)
+    const request_ptr& request, time_point now, const char* reason)
 {
     const auto server = choose_server(*request, now);
     if (server) {
+        counter*& sent = without_gate_[reason];
+        if (sent == nullptr) {
+            sent = &metrics_.add_counter("filberthub_sends_without_gate_total",
+                "Requests sent to a server without a slot of its gate.",
+                {{"reason", reason}});
+        }
+        sent->add();
         send(request, *server, now);
         return;
     }
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -237,6 +237,7 @@
     response.headers.set("Content-Type", "text/plain");
     response.body = std::string(reason) + "\n";
     (request->state.may_have_run ? unknown_ : not_run_).add();
+    count_rejection(reason);
     log_event(log_level::info, "request not served",
         {{log_key::request_id, request->id},
             {log_key::service, request->service.value()},
@@ -252,6 +253,18 @@
     exchange->respond(std::move(response));
 }
 
+void caller_service::count_rejection(std::string_view reason)
+{
+    auto found = rejections_.find(reason);
+    if (found == rejections_.end()) {
+        counter& added = metrics_.add_counter("filberthub_rejections_total",
+            "Requests that were not served, by reason.",
+            {{"reason", std::string(reason)}});
+        found = rejections_.emplace(reason, &added).first;
+    }
+    found->second->add();
+}
+
 void caller_service::finish(const request_ptr& request)
 {
     if (request->finished)
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -74,7 +74,8 @@
     void retry_later(const request_ptr& request, time_point now);
     bool request_gate_slot(const request_ptr& request, time_point now);
     void on_gate_reply(const request_ptr& request, const gate_reply& reply);
-    void send_without_gate(const request_ptr& request, time_point now);
+    void send_without_gate(
+        const request_ptr& request, time_point now, const char* reason);
     void report_to_gate(caller_request& request, send_outcome outcome,
         milliseconds taken, const std::optional<server_load_report>& report);
     std::optional<backend_server_id> choose_server(
@@ -103,6 +104,7 @@
         std::string_view reason);
     void finish(const request_ptr& request);
     void on_cancelled(const request_ptr& request);
+    void count_rejection(std::string_view reason);
     bool is_sent(const caller_request& request) const;
     void cancel_attempt(caller_request& request, time_point now);
     window_budget& budget_of(const service_id& service);
@@ -112,6 +114,7 @@
     const route_settings& settings_;
     deployment_view& view_;
     gate_service& gates_;
+    metric_registry& metrics_;
     std::function<time_point()> clock_;
     backend_connections connections_;
     std::list<request_ptr> requests_;
@@ -129,6 +132,11 @@
     counter& unknown_;
     counter& repeats_;
     counter& sends_to_leaving_servers_;
+    // By reason. All reasons are literals of this program.
+    std::map<std::string, counter*, std::less<>> without_gate_;
+    std::map<std::string, counter*, std::less<>> rejections_;
+    histogram& told_wait_;
+    histogram& gate_wait_;
     histogram& connection_wait_;
     histogram& latency_;
 };
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -1,5 +1,6 @@
 #include "router/gate_service.hpp"
 
+#include "router/gate_messages.hpp"
 #include "router/peer_messages.hpp"
 
 #include <filberthub/base/json_text.hpp>
@@ -14,35 +15,12 @@
 namespace filberthub {
 namespace {
 
-// Time to the first reply of a gate. A round trip in a region takes some
-// milliseconds; the rest is for a busy instance on a small processor.
-constexpr milliseconds reply_timeout{60};
-// A queued request is told the expected wait. If it has no decision after this
-// multiple of it plus the slack, it is sent without the gate.
-constexpr int expected_wait_factor = 3;
-constexpr milliseconds expected_wait_slack{150};
-// Time for which no slots are requested from an instance that did not reply.
-constexpr milliseconds unreachable_pause{400};
-// Interval at which the deadlines of replies are checked.
+// Interval at which open questions are checked.
 constexpr milliseconds deadline_interval{15};
-// Interval of sweeps while requests wait at a gate of this instance; ten times
-// as long when none do.
-constexpr milliseconds sweep_interval{40};
 // Time for messages in one turn of the event loop. Under overload they arrive
 // faster than a small processor handles them.
 constexpr milliseconds max_reading_time{10};
 
-// Kinds of messages, the first element of each.
-// [1, number, service, group, owner or "", urgency, ms to the target time,
-//  ms to the answer deadline, failure domain, cross-domain cost in ms,
-//  excluded servers]
-constexpr int slot_request_message = 1;
-// [2, number, decision, server, wait in ms]
-constexpr int decision_message = 2;
-// [3, number, outcome, ms taken, running, waiting, slots, slowdown]; no load
-// report if slots is 0, and no slowdown if that is 0.
-constexpr int finish_message = 3;
-
 milliseconds time_left(time_point now, time_point then)
 {
     return std::chrono::duration_cast<milliseconds>(then - now);
@@ -55,7 +33,9 @@
     : settings_(settings),
       view_(view),
       clock_(std::move(clock)),
-      gate_(view.servers(), settings.bounds.cold)
+      gate_(view.servers(), settings.bounds.cold),
+      last_number_(
+          static_cast<std::uint64_t>(clock_().time_since_epoch().count()))
 {
     connect(
         &socket_, &QUdpSocket::readyRead, this, [this] { read_datagrams(); });
@@ -134,14 +114,24 @@
     const live_instance* host = find_gate_host(request.group);
     if (host == nullptr)
         return std::nullopt;
-    const auto unreachable = unreachable_until_.find(host->address);
-    if (unreachable != unreachable_until_.end() && now < unreachable->second)
+    if (!liveness_.may_ask(host->address, now))
         return std::nullopt;
     const std::uint64_t number = ++last_number_;
-    pending_[number] = {
-        std::move(on_reply), host->address, now + reply_timeout, false};
+    const slot_question question(host->address, request.answer_deadline);
+    const auto added = pending_.emplace(
+        number, pending_request{std::move(on_reply), std::move(request),
+                    question, std::nullopt, false});
+    ask(number, added.first->second, now);
     if (!deadline_timer_.isActive())
         deadline_timer_.start(deadline_interval);
+    return number;
+}
+
+void gate_service::ask(
+    std::uint64_t number, pending_request& pending, time_point now)
+{
+    liveness_.on_asked(pending.question, now);
+    const slot_request& request = pending.request;
     json excluded = json::array();
     for (const backend_server_id& id : request.excluded)
         excluded.push_back(id.value());
@@ -151,8 +141,7 @@
              time_left(now, request.answer_deadline).count(),
              request.domain.value(), request.cross_domain_cost.count(),
              excluded},
-        host->address);
-    return number;
+        pending.question.host);
 }
 
 void gate_service::finish(std::uint64_t number, const gate_result& result)
@@ -160,7 +149,7 @@
     const auto found = pending_.find(number);
     if (found == pending_.end())
         return;
-    const endpoint gate_address = found->second.gate_address;
+    const endpoint gate_address = found->second.question.host;
     pending_.erase(found);
     const server_load_report report =
         result.report.value_or(server_load_report{0, 0, 0, std::nullopt});
@@ -185,13 +174,13 @@
         QHostAddress(QString::fromStdString(target.address)), target.port);
 }
 
-void gate_service::read_datagrams()
+bool gate_service::read_datagrams()
 {
     const time_point end = clock_() + max_reading_time;
     while (socket_.hasPendingDatagrams()) {
         if (clock_() >= end) {
             reading_timer_.start(0);
-            return;
+            return false;
         }
         const QNetworkDatagram datagram = socket_.receiveDatagram();
         const QByteArray bytes = datagram.data();
@@ -208,6 +197,7 @@
                     {log_key::error, shorten(failure.what())}});
         }
     }
+    return true;
 }
 
 void gate_service::on_message(const json& message, const endpoint& sender)
@@ -218,9 +208,7 @@
         on_slot_request(message, sender, now);
         return;
     case decision_message:
-        on_decision(message.at(1).get<std::uint64_t>(),
-            read_enum(message.at(2), slot_decision::refused),
-            message.at(3).get<std::string>(), read_milliseconds(message.at(4)));
+        on_decision(message, sender, now);
         return;
     case finish_message:
         on_finish(message, sender, now);
@@ -231,117 +219,120 @@
     }
 }
 
-void gate_service::on_slot_request(
-    const json& message, const endpoint& sender, time_point now)
-{
-    slot_request request;
-    request.id = {
-        instance_id(to_string(sender)), message.at(1).get<std::uint64_t>()};
-    request.service = service_id(message.at(2).get<std::string>());
-    request.group = message.at(3).get<std::string>();
-    const auto owner = message.at(4).get<std::string>();
-    if (!owner.empty())
-        request.owner = backend_server_id(owner);
-    request.urgency = message.at(5).get<unsigned>();
-    request.target_time = now + read_milliseconds(message.at(6));
-    request.answer_deadline = now + read_milliseconds(message.at(7));
-    request.domain = failure_domain_id(message.at(8).get<std::string>());
-    request.cross_domain_cost = read_milliseconds(message.at(9));
-    for (const json& id : message.at(10))
-        request.excluded.emplace_back(id.get<std::string>());
-    send_decisions(gate_.request_slot(std::move(request), now));
-    if (!sweep_timer_.isActive())
-        sweep_timer_.start(sweep_interval);
-}
-
-void gate_service::on_finish(
+void gate_service::on_decision(
     const json& message, const endpoint& sender, time_point now)
 {
-    gate_result result;
-    result.outcome = read_enum(message.at(2), send_outcome::cancelled);
-    result.taken = read_milliseconds(message.at(3));
-    const auto slots = message.at(6).get<unsigned>();
-    if (slots > 0) {
-        result.report = server_load_report{message.at(4).get<unsigned>(),
-            message.at(5).get<unsigned>(), slots, std::nullopt};
-        const auto slowdown = message.at(7).get<double>();
-        if (slowdown > 0)
-            result.report->slowdown = slowdown;
-    }
-    send_decisions(gate_.finish(
-        {instance_id(to_string(sender)), message.at(1).get<std::uint64_t>()},
-        result, now));
-}
-
-void gate_service::send_decisions(const std::vector<gate_decision>& decisions)
-{
-    for (const gate_decision& decision : decisions) {
-        send({decision_message, decision.id.number,
-                 static_cast<int>(decision.decision), decision.server.value(),
-                 decision.wait.count()},
-            endpoint_from_string(decision.id.requester.value()));
-    }
-}
-
-void gate_service::on_decision(std::uint64_t number, slot_decision decision,
-    const std::string& server, milliseconds wait)
-{
+    const auto number = message.at(1).get<std::uint64_t>();
+    const auto decision = read_enum(message.at(2), slot_decision::refused);
+    const auto server = message.at(3).get<std::string>();
+    const milliseconds wait = read_milliseconds(message.at(4));
     const auto found = pending_.find(number);
-    if (found == pending_.end() || found->second.granted)
+    if (found == pending_.end() || found->second.question.host != sender) {
+        liveness_.on_late_reply(sender, now);
+        // Otherwise the gate keeps a slot or a place in its queue for a request
+        // that this instance has given up.
+        if (decision != slot_decision::refused) {
+            send({finish_message, number,
+                     static_cast<int>(send_outcome::cancelled), 0, 0, 0, 0, 0},
+                sender);
+        }
         return;
+    }
     pending_request& request = found->second;
+    if (request.granted)
+        return;
     if (decision == slot_decision::queued) {
-        request.reply_deadline =
-            clock_() + wait * expected_wait_factor + expected_wait_slack;
+        liveness_.on_queued(request.question, wait, now);
+        if (!request.told_wait)
+            request.told_wait = wait;
         return;
     }
+    liveness_.on_decided(request.question, now);
     const callback on_reply = std::move(request.on_reply);
+    const std::optional<milliseconds> told_wait = request.told_wait;
     if (decision == slot_decision::refused) {
         pending_.erase(found);
-        on_reply({gate_reply::kind::refused, {}, wait});
+        on_reply({gate_reply::kind::refused, {}, wait, told_wait});
         return;
     }
     // The entry is kept until `finish` reports the end.
     request.granted = true;
-    on_reply({gate_reply::kind::granted, backend_server_id(server), wait});
+    on_reply({gate_reply::kind::granted, backend_server_id(server), wait,
+        told_wait});
 }
 
 void gate_service::check_deadlines()
 {
+    // A reply that has arrived counts, even if this process was suspended and
+    // has not read it yet.
+    if (!read_datagrams()) {
+        deadline_timer_.start(deadline_interval);
+        return;
+    }
     const time_point now = clock_();
-    std::vector<std::uint64_t> overdue;
+    if (checked_version_ != view_.members_version())
+        ask_moved_gates(now);
+    std::vector<std::pair<std::uint64_t, gate_reply::kind>> given_up;
     bool waiting = false;
-    for (const auto& [number, request] : pending_) {
+    for (auto& [number, request] : pending_) {
         if (request.granted)
             continue;
-        if (now >= request.reply_deadline)
-            overdue.push_back(number);
-        else
-            waiting = true;
-    }
-    for (const std::uint64_t number : overdue) {
-        const auto found = pending_.find(number);
-        if (found == pending_.end())
-            continue;
-        const callback on_reply = std::move(found->second.on_reply);
-        unreachable_until_[found->second.gate_address] =
-            now + unreachable_pause;
-        // Withdraws the request, so that a gate that is only slow does not
-        // count it as running.
-        finish(number, {send_outcome::cancelled, milliseconds(0), {}});
-        on_reply({});
+        waiting = true;
+        switch (liveness_.next_step(request.question, now)) {
+        case question_step::wait:
+            break;
+        case question_step::ask:
+            ask(number, request, now);
+            break;
+        case question_step::host_silent:
+            given_up.emplace_back(number, gate_reply::kind::unreachable);
+            break;
+        case question_step::no_reply:
+            given_up.emplace_back(number, gate_reply::kind::no_reply);
+            break;
+        }
     }
+    for (const auto& [number, reason] : given_up)
+        give_up(number, reason);
     if (waiting && !deadline_timer_.isActive())
         deadline_timer_.start(deadline_interval);
 }
 
-void gate_service::sweep()
+// Withdraws waiting requests whose gate is now hosted by another instance, and
+// asks there.
+void gate_service::ask_moved_gates(time_point now)
+{
+    checked_version_ = view_.members_version();
+    std::set<endpoint> addresses;
+    for (const live_instance& member : view_.members())
+        addresses.insert(member.address);
+    liveness_.keep_only(addresses);
+    for (auto& [number, request] : pending_) {
+        if (request.granted)
+            continue;
+        const live_instance* host = find_gate_host(request.request.group);
+        if (host == nullptr || host->address == request.question.host)
+            continue;
+        send({finish_message, number, static_cast<int>(send_outcome::cancelled),
+                 0, 0, 0, 0, 0},
+            request.question.host);
+        request.question =
+            slot_question(host->address, request.request.answer_deadline);
+        ask(number, request, now);
+    }
+}
+
+void gate_service::give_up(std::uint64_t number, gate_reply::kind reason)
 {
-    send_decisions(gate_.sweep(clock_()));
-    if (gate_.waiting() > 0)
-        sweep_timer_.start(sweep_interval);
-    else
-        sweep_timer_.start(sweep_interval * 10);
+    const auto found = pending_.find(number);
+    if (found == pending_.end())
+        return;
+    const callback on_reply = std::move(found->second.on_reply);
+    const std::optional<milliseconds> told_wait = found->second.told_wait;
+    // Withdraws the request, so that a gate that is only slow does not count it
+    // as running.
+    finish(number, {send_outcome::cancelled, milliseconds(0), {}});
+    on_reply({reason, {}, milliseconds(0), told_wait});
 }
 
 } // namespace filberthub
--- a/src/router/gate_service.hpp
+++ b/src/router/gate_service.hpp
@@ -13,6 +13,7 @@
 #include "router/deployment_view.hpp"
 
 #include <filberthub/base/json_reader.hpp>
+#include <filberthub/routing/gate_liveness.hpp>
 #include <filberthub/routing/slot_gate.hpp>
 
 #include <QtCore/QTimer>
@@ -30,9 +31,11 @@
     {
         granted,
         refused,
-        // No reply arrived in time; the instance chooses a server without the
-        // gate.
-        unreachable
+        // The host of the gate replies to nothing; the instance chooses a
+        // server without the gate.
+        unreachable,
+        // The same if the host replies, but not about this request.
+        no_reply
     };
 
     kind decision = kind::unreachable;
@@ -40,10 +43,12 @@
     backend_server_id server;
     // Time until room is expected, if the slot was refused.
     milliseconds wait{0};
+    // The wait that the gate told first, if the request was queued.
+    std::optional<milliseconds> told_wait;
 };
 
-// Messages between instances are CBOR arrays in UDP datagrams, which are
-// neither acknowledged nor sent again: a lost one delays its request by some
+// Messages between instances are CBOR arrays in UDP datagrams. A request that
+// is overdue is sent again: a lost one delays its request by some tens of
 // milliseconds, and an instance that does not respond blocks no other. Needs
 // the Qt event loop.
 class gate_service : public QObject
@@ -81,22 +86,25 @@
     struct pending_request
     {
         callback on_reply;
-        // Address of the instance that hosts the gate.
-        endpoint gate_address;
-        // After this time the gate counts as unreachable.
-        time_point reply_deadline;
+        slot_request request;
+        slot_question question;
+        std::optional<milliseconds> told_wait;
         bool granted = false;
     };
 
     const live_instance* find_gate_host(const std::string& group);
     const live_instance* choose_gate_host(const std::string& group) const;
-    void read_datagrams();
+    // Returns whether all datagrams that have arrived were handled.
+    bool read_datagrams();
     void on_message(const json& message, const endpoint& sender);
     void on_slot_request(
         const json& message, const endpoint& sender, time_point now);
     void on_finish(const json& message, const endpoint& sender, time_point now);
-    void on_decision(std::uint64_t number, slot_decision decision,
-        const std::string& server, milliseconds wait);
+    void on_decision(
+        const json& message, const endpoint& sender, time_point now);
+    void ask(std::uint64_t number, pending_request& request, time_point now);
+    void ask_moved_gates(time_point now);
+    void give_up(std::uint64_t number, gate_reply::kind reason);
     void send_decisions(const std::vector<gate_decision>& decisions);
     void send(const json& message, const endpoint& target);
     void check_deadlines();
@@ -112,9 +120,12 @@
     // of `hosts_version_`: the choice compares all members.
     std::unordered_map<std::string, const live_instance*> hosts_;
     std::uint64_t hosts_version_ = 0;
-    // No slots are requested at these addresses until then.
-    std::map<endpoint, time_point> unreachable_until_;
-    std::uint64_t last_number_ = 0;
+    gate_liveness liveness_;
+    // Version of the members when the hosts of pending requests were checked.
+    std::uint64_t checked_version_ = 0;
+    // Starts at the boot time, so that a restarted process does not use numbers
+    // that gates still hold for the earlier one.
+    std::uint64_t last_number_;
     // Continues to read after a turn in which not all messages were handled.
     QTimer reading_timer_;
     QTimer deadline_timer_;
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -19,6 +19,15 @@
 // Fraction of the cold bound for requests that are sent without a gate. The
 // gate uses up to 0.55, and the random offsets of the instances may coincide.
 constexpr double gateless_cold_bound_fraction = 0.2;
+// A server that cannot queue a request may never respond to it, nor to anything
+// else on that connection, and the requests that others send are not all known
+// here. Servers queue 8 requests and more; this counts as many as the server
+// has slots, at least this number.
+constexpr unsigned min_queued_without_gate = 4;
+// This instance sends at most this multiple of its share of the slots, at least
+// `min_sent_without_gate`.
+constexpr unsigned share_factor = 3;
+constexpr std::size_t min_sent_without_gate = 2;
 // How long the owner of keys may receive requests after it began to drain.
 // Moving the keys takes a plan, a write and a release, which is far less than
 // this. The shortest time that the platform gives a leaving server is 2 s.
@@ -208,6 +217,18 @@
     return requests_of_others + server.in_flight;
 }
 
+bool server_pool::accepts_without_gate(
+    const observed_server& server, time_point now) const
+{
+    const unsigned slots = server.entry.slots;
+    const std::size_t share = std::max(
+        min_sent_without_gate, static_cast<std::size_t>(slots) * share_factor /
+                                   std::max<std::size_t>(fleet_size_, 1));
+    return server.in_flight < share &&
+           expected_requests(server, now) <
+               slots + std::max(slots, min_queued_without_gate);
+}
+
 double server_pool::expected_ms(
     const observed_server& server, time_point now) const
 {
@@ -225,7 +246,7 @@
     std::vector<const observed_server*> candidates;
     std::vector<const observed_server*> avoided;
     for (const observed_server* server : of_service(service)) {
-        if (!may_send(*server, now) ||
+        if (!may_send(*server, now) || !accepts_without_gate(*server, now) ||
             std::find(request.excluded.begin(), request.excluded.end(),
                 server->entry.id) != request.excluded.end())
             continue;
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -24,6 +24,8 @@
 // Bounds on the wait that a refusal suggests.
 constexpr milliseconds min_retry_after{20};
 constexpr milliseconds max_retry_after{500};
+// A request waits this long for a server to join a group that has none.
+constexpr milliseconds max_wait_for_server{500};
 
 double milliseconds_between(time_point from, time_point to)
 {
@@ -153,11 +155,17 @@
     }
     // Queued requests found no free slot either, unless a server has joined
     // since.
-    if (const auto server =
-            free_server(request, servers_of_group(request), now)) {
+    const server_list servers = servers_of_group(request);
+    if (const auto server = free_server(request, servers, now)) {
         decisions.push_back(grant(request, *server, now));
         return decisions;
     }
+    if (excludes_all(request, servers)) {
+        decisions.push_back(
+            {request.id, slot_decision::refused, {}, max_retry_after});
+        return decisions;
+    }
+    request.queued_at = now;
     const double wait = expected_wait_ms(request, now);
     if (cannot_finish_in_time(
             request, wait_with_overtaking_ms(request, wait, now), now)) {
@@ -182,7 +190,10 @@
     std::erase_if(queue, [&](const slot_request& request) {
         // The queue is sorted in the order of service.
         const double wait = rate > 0 ? ahead / rate : 0;
-        if (!cannot_finish_in_time(request,
+        const bool server_missing =
+            rate <= 0 && now >= request.queued_at + max_wait_for_server;
+        if (!server_missing &&
+            !cannot_finish_in_time(request,
                 overload ? wait_with_overtaking_ms(request, wait, now) : wait,
                 now)) {
             ++ahead;
--- a/src/routing/slot_gate_servers.cpp
+++ b/src/routing/slot_gate_servers.cpp
@@ -79,6 +79,16 @@
                server.entry.id) == request.excluded.end();
 }
 
+bool slot_gate::excludes_all(
+    const slot_request& request, const server_list& servers) const
+{
+    return !request.owner && !servers.empty() &&
+           std::none_of(servers.begin(), servers.end(),
+               [&](const observed_server* server) {
+                   return is_not_excluded(request, *server);
+               });
+}
+
 slot_gate::server_list slot_gate::servers_of_group(
     const slot_request& request) const
 {
--- a/test/routing/slot_gate_test.cpp
+++ b/test/routing/slot_gate_test.cpp
@@ -79,6 +79,23 @@
     EXPECT_LT(later[0].wait, first[0].wait);
 }
 
+// Guards against requests that are held until their deadline although no server
+// may take them. Instances no longer give up on a gate that makes them wait.
+TEST_F(SlotGate, RefusesWhatNoServerMayTake)
+{
+    slot_request retry = request(1, 0);
+    retry.excluded.push_back(backend_server_id("s1"));
+    EXPECT_EQ(request_slot(retry, 0), slot_decision::refused);
+    put(server_builder("s1").draining().build());
+    slot_request item = request(2, 0);
+    item.answer_deadline = at_ms(20'000);
+    EXPECT_EQ(request_slot(item, 0), slot_decision::queued);
+    EXPECT_THAT(gate_.sweep(at_ms(400)), IsEmpty());
+    const auto decisions = gate_.sweep(at_ms(520));
+    ASSERT_THAT(decisions, SizeIs(1));
+    EXPECT_EQ(decisions[0].decision, slot_decision::refused);
+}
+
 // Guards against slots that are idle for a round trip, and against long queues
 // at a server.
 TEST_F(SlotGate, GrantsOneRequestMoreThanAServerHasSlots)
