--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -54,6 +54,8 @@
     // An answer before this time has its full value.
     time_point target_time;
     time_point answer_deadline;
+    // Set by the gate.
+    time_point queued_at;
 };
 
 // The answer to a request for a slot.
@@ -86,15 +88,16 @@
 };
 
 // Grants each server at most one request more than it has slots. Each queued
-// request gets exactly one further decision, unless `finish` removes it.
+// request gets exactly one further decision, unless `finish` removes it or the
+// request is asked about again.
 // Requires regular calls of `sweep`.
 class slot_gate
 {
 public:
     slot_gate(const server_pool& pool, cold_bound bound);
 
-    // Decides about a request or adds it to the queue. A request whose id is
-    // running or queued is ignored.
+    // Decides about a request or adds it to the queue. If a request of this id
+    // is running or queued, tells its server or its present wait.
     std::vector<gate_decision> request_slot(
         slot_request request, time_point now);
 
@@ -161,6 +164,9 @@
         const server_list& servers, time_point now) const;
     bool is_not_excluded(
         const slot_request& request, const observed_server& server) const;
+    // Whether there are servers but the request excludes all of them.
+    bool excludes_all(
+        const slot_request& request, const server_list& servers) const;
     gate_decision grant(const slot_request& request,
         const backend_server_id& server, time_point now);
     // Throughput of the servers that may run the request.
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -24,6 +24,8 @@
 // Bounds on the wait that a refusal suggests.
 constexpr milliseconds min_retry_after{20};
 constexpr milliseconds max_retry_after{500};
+// A request waits this long for a server to join a group that has none.
+constexpr milliseconds max_wait_for_server{500};
 
 double milliseconds_between(time_point from, time_point to)
 {
@@ -125,7 +127,8 @@
             queue->second.end(), [&](const slot_request& other) {
                 // Requests of the same urgency are served in the order of
                 // arrival.
-                return !is_served_before(request, other, now, work);
+                return other.id != request.id &&
+                       !is_served_before(request, other, now, work);
             }));
     }
     return static_cast<double>(ahead) / rate;
@@ -135,19 +138,34 @@
     slot_request request, time_point now)
 {
     std::vector<gate_decision> decisions;
-    if (running_.contains(request.id))
+    const auto running = running_.find(request.id);
+    if (running != running_.end()) {
+        // The decision was lost, or is on its way.
+        decisions.push_back({request.id, slot_decision::granted,
+            running->second.server, milliseconds(0)});
         return decisions;
+    }
     auto& queue = queues_[request.group];
-    if (std::any_of(queue.begin(), queue.end(),
-            [&](const slot_request& other) { return other.id == request.id; }))
+    if (std::any_of(queue.begin(), queue.end(), [&](const slot_request& other) {
+            return other.id == request.id;
+        })) {
+        decisions.push_back({request.id, slot_decision::queued, {},
+            round_to_milliseconds(expected_wait_ms(request, now))});
         return decisions;
+    }
     // Queued requests found no free slot either, unless a server has joined
     // since.
-    if (const auto server =
-            free_server(request, servers_of_group(request), now)) {
+    const server_list servers = servers_of_group(request);
+    if (const auto server = free_server(request, servers, now)) {
         decisions.push_back(grant(request, *server, now));
         return decisions;
     }
+    if (excludes_all(request, servers)) {
+        decisions.push_back(
+            {request.id, slot_decision::refused, {}, max_retry_after});
+        return decisions;
+    }
+    request.queued_at = now;
     const double wait = expected_wait_ms(request, now);
     if (cannot_finish_in_time(
             request, wait_with_overtaking_ms(request, wait, now), now)) {
@@ -172,7 +190,10 @@
     std::erase_if(queue, [&](const slot_request& request) {
         // The queue is sorted in the order of service.
         const double wait = rate > 0 ? ahead / rate : 0;
-        if (!cannot_finish_in_time(request,
+        const bool server_missing =
+            rate <= 0 && now >= request.queued_at + max_wait_for_server;
+        if (!server_missing &&
+            !cannot_finish_in_time(request,
                 overload ? wait_with_overtaking_ms(request, wait, now) : wait,
                 now)) {
             ++ahead;
--- a/test/routing/slot_gate_test.cpp
+++ b/test/routing/slot_gate_test.cpp
@@ -57,6 +57,45 @@
     slot_gate gate_{pool_, bound};
 };
 
+// Guards against a request that is lost with the datagram of its decision, or
+// that does not learn its present wait: the gate ignored repeated questions.
+TEST_F(SlotGate, AnswersARepeatedQuestion)
+{
+    for (std::uint64_t number = 1; number <= 3; ++number)
+        request_slot(request(number, 0), 0);
+    const auto running = gate_.request_slot(request(1, 0), at_ms(5));
+    ASSERT_THAT(running, SizeIs(1));
+    EXPECT_EQ(running[0].decision, slot_decision::granted);
+    EXPECT_EQ(running[0].server.value(), "s1");
+    for (std::uint64_t number = 4; number <= 6; ++number)
+        request_slot(request(number, 0), 0);
+    const auto first = gate_.request_slot(request(6, 0), at_ms(5));
+    ASSERT_THAT(first, SizeIs(1));
+    EXPECT_EQ(first[0].decision, slot_decision::queued);
+    EXPECT_EQ(gate_.waiting(), 3U);
+    finish(1, 20);
+    const auto later = gate_.request_slot(request(6, 0), at_ms(25));
+    ASSERT_THAT(later, SizeIs(1));
+    EXPECT_LT(later[0].wait, first[0].wait);
+}
+
+// Guards against requests that are held until their deadline although no server
+// may take them. Instances no longer give up on a gate that makes them wait.
+TEST_F(SlotGate, RefusesWhatNoServerMayTake)
+{
+    slot_request retry = request(1, 0);
+    retry.excluded.push_back(backend_server_id("s1"));
+    EXPECT_EQ(request_slot(retry, 0), slot_decision::refused);
+    put(server_builder("s1").draining().build());
+    slot_request item = request(2, 0);
+    item.answer_deadline = at_ms(20'000);
+    EXPECT_EQ(request_slot(item, 0), slot_decision::queued);
+    EXPECT_THAT(gate_.sweep(at_ms(400)), IsEmpty());
+    const auto decisions = gate_.sweep(at_ms(520));
+    ASSERT_THAT(decisions, SizeIs(1));
+    EXPECT_EQ(decisions[0].decision, slot_decision::refused);
+}
+
 // Guards against slots that are idle for a round trip, and against long queues
 // at a server.
 TEST_F(SlotGate, GrantsOneRequestMoreThanAServerHasSlots)
