Let requests wait for a moving key within their target latency

Cause: a request whose key had no owner was rejected after 300 ms, although its target latency was 800 ms or more.

The new unit owner_wait decides: a request waits until arrival plus target latency minus the mean service time, at least 300 ms as before and never beyond its deadline. Requests whose owner is known but cold or resting wait as before, as their keys do not move.

Tested: OwnerWait.*, and with a router and a first table that takes 1.2 s, server_answers_test.WaitsForAnOwnerOfTheKeyWithinTheTargetLatency, which failed before with 503 "no owner of the key".

--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -1,5 +1,6 @@
 #include "router/caller_request.hpp"
 
+#include <filberthub/routing/owner_wait.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
@@ -10,8 +11,6 @@
 // Interval at which waiting requests are tried again; they are also tried when
 // the view changes.
 constexpr milliseconds retry_interval{15};
-// Longest wait for an owner of a key. A move of the key takes a fraction of it.
-constexpr milliseconds max_owner_wait{300};
 // Cost of sending a request to another failure domain, as the time that a
 // server there must save: the network delay, and for a large body also the
 // price of the traffic.
@@ -216,8 +215,7 @@
         return;
     }
     const milliseconds rest = owner_rest(*request, now);
-    if (now + rest >= request->arrived + max_owner_wait ||
-        now + rest + min_attempt_time >= request->state.answer_deadline) {
+    if (!may_wait_for_owner(*request, now + rest)) {
         fail(request,
             failure_of(request->state, false,
                 rest.count() > 0 ? rest : retry_delay_after_loss),
@@ -233,6 +231,25 @@
     retry_later(request, now);
 }
 
+// Whether the request may wait for an owner of its key that can take it. A key
+// that moves has no owner. An owner that is cold or rests keeps its keys, so
+// that waiting for longer would not help.
+bool caller_service::may_wait_for_owner(
+    const caller_request& request, time_point now) const
+{
+    ownerless_request waiting;
+    waiting.arrived = request.arrived;
+    waiting.answer_deadline = request.state.answer_deadline;
+    if (!view_.owner_of(request.service, *request.key)) {
+        waiting.latency_target = request.route->latency_target;
+        waiting.service_time = milliseconds(static_cast<std::int64_t>(
+            view_.servers().times().mean_ms(request.service)));
+    }
+    // The list is tried in order of urgency, so that it holds those before this
+    // request.
+    return owner_wait().may_wait(waiting, waiting_requests_.size(), now);
+}
+
 void caller_service::retry_later(const request_ptr& request, time_point)
 {
     if (!request->waiting_for_retry) {
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -84,6 +84,8 @@
     bool owner_is_lost(const caller_request& request, time_point now) const;
     std::string_view owner_problem(
         const caller_request& request, time_point now) const;
+    bool may_wait_for_owner(
+        const caller_request& request, time_point now) const;
     milliseconds owner_rest(
         const caller_request& request, time_point now) const;
     void send(const request_ptr& request, const backend_server_id& server,
--- a/test/router/server_answers_test.cpp
+++ b/test/router/server_answers_test.cpp
@@ -159,6 +159,21 @@
     EXPECT_EQ(sockets_.size(), 2U);
 }
 
+// Guards against a rejection while the key gets its first owner, which takes
+// 1.2 s, although the request could wait for it within its target latency.
+TEST_F(server_answers_test, WaitsForAnOwnerOfTheKeyWithinTheTargetLatency)
+{
+    start(true);
+    http_response answer;
+    for (int number = 0; number < 200; ++number) {
+        answer = call("w" + std::to_string(number));
+        if (answer.body != "no configuration yet\n" && answer.status != 0)
+            break;
+        run_for(milliseconds(10));
+    }
+    EXPECT_EQ(answer.status, 200) << answer.body;
+}
+
 // Guards against an earlier refusal without an id that is taken for the answer
 // to the request that is running.
 TEST_F(server_answers_test, DoesNotBelieveARefusalWithoutAnId)
