Release neighboring ranges of one holder with one command

Cause: a plan that divides a hot range makes one range for each receiver, and each was released by a command of its own. A release needs an unused connection of the two to each server and is answered when the running requests have ended, so that 60 receivers took 30 rounds; releases that had not got a connection within 1.5 s were sent again later. The keys had no owner meanwhile.

key_granter now extends the last release of a turn while the holder and the token are the same and the keys adjoin. Its answer counts for all of the ranges, and its handover goes to each of them. The protocol permits the release of a part of a grant; it does not say whether a receiver of a part of the released keys may use the handover. More connections were ruled out, as servers accept a bounded number of them.

Tested: KeyGranter.ReleasesTheNeighboringPartsOfARangeTogether failed before with 60 releases; KeyGranter and KeyCoordinator tests, with the property tests of single ownership.

--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -218,6 +218,16 @@
         if (holder.released || holder.release_in_flight != no_command ||
             holder.grant_in_flight != no_command || now < holder.next_try)
             continue;
+        // The receivers of a divided range are neighbors. One release for each
+        // would wait for the others, as it needs a connection of its own.
+        if (!commands.empty() && commands.back().release &&
+            commands.back().server == holder.server &&
+            commands.back().token == holder.token &&
+            commands.back().last + 1 == holder.first) {
+            commands.back().last = holder.last;
+            holder.release_in_flight = commands.back().number;
+            continue;
+        }
         last_command_ = last_command_.next();
         holder.release_in_flight = last_command_;
         open_commands_.emplace(last_command_,
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -52,6 +52,40 @@
     EXPECT_FALSE(only_command(750).release);
 }
 
+// Guards against keys of a divided range that have no owner for seconds,
+// because the releases for its receivers wait for each other.
+TEST_F(KeyGranter, ReleasesTheNeighboringPartsOfARangeTogether)
+{
+    grant_first();
+    key_table divided = table_of({range_of(0, 99, "a", 2)});
+    for (key_number part = 1; part <= 60; ++part) {
+        const key_number last = part < 60 ? part * 100 + 99 : key_count - 1;
+        key_range range =
+            range_of(part * 100, last, "b" + std::to_string(part), part + 2);
+        range.previous.push_back(
+            {{backend_server_id("a"), 1}, fencing_token(1)});
+        divided.ranges.push_back(range);
+    }
+    granter_.adopt(divided, at_ms(100));
+    std::vector<grant_command> releases;
+    for (const grant_command& command : granter_.due(at_ms(100))) {
+        if (command.release)
+            releases.push_back(command);
+    }
+    ASSERT_THAT(releases, SizeIs(1));
+    EXPECT_EQ(releases.at(0).first, 100U);
+    EXPECT_EQ(releases.at(0).last, key_count - 1);
+    EXPECT_THAT(granter_.due(at_ms(110)), IsEmpty());
+    granter_.on_reply(
+        releases.at(0).number, grant_reply::accepted, "warm", at_ms(200));
+    const auto grants = granter_.due(at_ms(200));
+    ASSERT_THAT(grants, SizeIs(60));
+    for (const grant_command& grant : grants) {
+        EXPECT_FALSE(grant.release);
+        EXPECT_EQ(grant.handover, "warm");
+    }
+}
+
 // Guards against a takeover that makes all keys unavailable until each of them
 // is granted anew.
 TEST_F(KeyGranter, LeavesKeysOfAnEarlierCoordinatorWithTheirOwners)
