Detect hot keys early and divide them in one plan

Cause: all keys were weighted with a half-life of 2 s, so that the first plan for a hot range saw a small part of its load, moved that part, and was followed by others in each write interval; and the threshold for moves was the expected highest count of equal servers, which noise exceeds in half of all plans.

Keys whose latest counts exceed what chance explains are weighted by them, drawn toward the mean of their neighbors. If that puts a server at twice its share or more, the plan is made 0.25 s after the detection and does not wait for the write interval, but for 0.35 s since the last write. It fills receivers to 1.25 times their share, those with most room first, without the limit of moves. Other plans that only improve the balance are made every 2 s at most, with a margin of two standard deviations, and a prior of 22 requests per server makes the first plan nearly uniform. ownership_controller plans every 100 ms instead of 250 ms; the number of writes is bounded by the intervals above.

Cost: each plan reads all 65,536 keys, about 1 ms of a processor by the time of the simulation (not profiled).

--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -11,7 +11,7 @@
 #define FILBERTHUB_ROUTING_KEY_COORDINATOR_HPP
 
 #include <filberthub/routing/key_granter.hpp>
-#include <filberthub/routing/key_planner.hpp>
+#include <filberthub/routing/key_load.hpp>
 
 namespace filberthub {
 
@@ -89,6 +89,10 @@
     }
 
 private:
+    // Returns the table that should follow the committed one, if it has to
+    // change.
+    std::optional<key_table> next_table(
+        const std::vector<key_server>& servers, time_point now);
     // Returns the table without the previous owners of finished moves, with new
     // tokens for ranges whose token was refused, and with the present
     // incarnations of servers that have restarted. Sets `changed` if it
@@ -97,13 +101,13 @@
 
     key_granter granter_;
     key_plan_options plan_options_;
-    key_weights weights_;
+    key_load load_;
     key_table table_;
     std::uint64_t revision_ = 0;
     time_point earlier_grants_end_;
     time_point started_at_;
     time_point last_write_at_;
-    time_point last_decay_at_;
+    time_point last_balance_at_;
     std::optional<key_table> pending_;
     // Tables of writes without an answer that the store may still carry out.
     // None of them can be once another write has succeeded.
--- a/include/filberthub/routing/key_planner.hpp
+++ b/include/filberthub/routing/key_planner.hpp
@@ -62,9 +62,23 @@
     // the count. The weights decay exponentially, which halves the variance of
     // a plain count.
     double count_noise_factor = 0.71;
+    // Added to the expected highest deviation of the servers' counts, in
+    // standard deviations. Half of the highest deviations exceed the expected
+    // one, so that keys are moved for noise in each second plan without it.
+    double noise_margin = 2;
     // Each range costs the coordinator about one renewal per second. With more
     // ranges per server than this, small ranges are joined to their neighbors.
     std::size_t ranges_per_server = 2;
+    // Whether keys may be moved to balance the load. Keys without an owner are
+    // placed in any case.
+    bool may_balance = true;
+    // Whether small ranges may be joined to their neighbors.
+    bool may_join = true;
+    // Load per capacity, relative to the mean, up to which receivers are
+    // filled.
+    double receiver_level = 1;
+    // Maximum number of moves for the balance; 0 for the usual one.
+    std::size_t moves_for_balance = 0;
 };
 
 // Returns a table in which each key belongs to one of `servers` and no server
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -11,7 +11,9 @@
 namespace filberthub {
 namespace {
 
-constexpr milliseconds plan_interval{250};
+// A plan that finds no hot keys costs about 1 ms of a processor. A longer
+// interval delays the detection of hot keys by half of it.
+constexpr milliseconds plan_interval{100};
 constexpr milliseconds grant_timeout{400};
 // A server answers a release after the running requests for the keys have
 // ended.
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -1,7 +1,6 @@
 #include <filberthub/routing/key_coordinator.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace filberthub {
 namespace {
@@ -15,9 +14,17 @@
 // Time between writes that only clear the previous owners of finished moves,
 // which nobody but a successor of this coordinator needs.
 constexpr milliseconds cleanup_interval{2'000};
-// Short enough to detect a hot key within a second, and long enough that the
-// Poisson noise of a few dozen requests per server does not move keys.
-constexpr double weight_half_life_ms = 2'000;
+// Time between plans that only improve the balance. Hot keys do not wait for
+// it.
+constexpr milliseconds balance_interval{2'000};
+// A hot range is divided by the counts of its keys, which are too small to tell
+// at first. With this delay, the plan is made 0.5 s after the onset.
+constexpr milliseconds surge_delay{250};
+// Limits the rate of writes while keys are hot.
+constexpr milliseconds min_surge_write_interval{350};
+// Receivers of hot keys are filled up to this load, so that most of them get
+// one range only.
+constexpr double surge_receiver_level = 1.25;
 
 } // namespace
 
@@ -33,7 +40,7 @@
     revision_ = store_revision;
     earlier_grants_end_ = earlier_grants_end;
     started_at_ = now;
-    last_decay_at_ = now;
+    load_.start(now);
     pending_.reset();
     undecided_.clear();
     active_ = false;
@@ -48,7 +55,7 @@
 void key_coordinator::on_requests(key_number key, double count)
 {
     if (key < key_count)
-        weights_.add(key, count);
+        load_.add(key, count);
 }
 
 key_table key_coordinator::refreshed_table(bool& changed) const
@@ -71,20 +78,53 @@
     return next;
 }
 
+std::optional<key_table> key_coordinator::next_table(
+    const std::vector<key_server>& servers, time_point now)
+{
+    const auto hot_for = load_.hot_for(now);
+    const bool in_surge = hot_for && *hot_for >= surge_delay &&
+                          load_.is_in_surge(table_, servers);
+    // A plan by the first counts of a hot range would only delay the next one.
+    const bool is_onset = hot_for && *hot_for < surge_delay;
+    if (now - last_write_at_ <
+        (in_surge ? min_surge_write_interval : min_write_interval))
+        return std::nullopt;
+    key_plan_options options = plan_options_;
+    options.may_balance =
+        in_surge || (!is_onset && now - last_balance_at_ >= balance_interval);
+    // Hot keys are the lightest once they have cooled, so that joining waits
+    // until then.
+    options.may_join = options.may_balance && !in_surge;
+    if (in_surge) {
+        // The moves are made anyway, so that they may as well be complete.
+        options.noise_margin = 0;
+        options.receiver_level = surge_receiver_level;
+        options.moves_for_balance = servers.size();
+    }
+    bool changed = !granter_.outdated().empty();
+    const key_table base = refreshed_table(changed);
+    auto next = plan_keys(base, load_.expected(), servers, options);
+    if (next && options.may_balance)
+        last_balance_at_ = now;
+    if (!next && changed &&
+        (now - last_write_at_ >= cleanup_interval ||
+            !granter_.outdated().empty()))
+        next = base;
+    return next;
+}
+
 std::optional<table_write> key_coordinator::plan(
     const std::vector<key_server>& servers, time_point now)
 {
-    const double age_ms =
-        std::chrono::duration<double, std::milli>(now - last_decay_at_).count();
-    weights_.decay(std::exp2(-age_ms / weight_half_life_ms));
-    last_decay_at_ = now;
+    load_.update(now);
     if (pending_)
         return std::nullopt;
     if (!active_) {
         if (table_.ranges.empty()) {
             if (now - started_at_ < first_plan_delay)
                 return std::nullopt;
-            pending_ = plan_keys(table_, weights_, servers, plan_options_);
+            pending_ =
+                plan_keys(table_, load_.expected(), servers, plan_options_);
         } else {
             // New tokens make the servers refuse commands of the previous
             // coordinator.
@@ -95,15 +135,7 @@
             }
         }
     } else {
-        if (now - last_write_at_ < min_write_interval)
-            return std::nullopt;
-        bool changed = !granter_.outdated().empty();
-        const key_table base = refreshed_table(changed);
-        pending_ = plan_keys(base, weights_, servers, plan_options_);
-        if (!pending_ && changed &&
-            (now - last_write_at_ >= cleanup_interval ||
-                !granter_.outdated().empty()))
-            pending_ = base;
+        pending_ = next_table(servers, now);
     }
     if (!pending_)
         return std::nullopt;
--- a/src/routing/key_plan.hpp
+++ b/src/routing/key_plan.hpp
@@ -22,6 +22,10 @@
 // Base load of all keys together, relative to the total number of requests.
 // Positive, so that keys without requests are spread too.
 inline constexpr double idle_key_weight = 0.1;
+// Lower bound of that base load, in requests per server. It is the weight of a
+// prior by which the shares of servers differ by 15%: counts of a few requests
+// say less, so that the first plan of a deployment is nearly uniform.
+inline constexpr double idle_requests_per_server = 22;
 
 // Divides the keys into segments with one owner each. Works on a copy of the
 // table; `result` returns the new table. Segments whose owner is `none` have to
@@ -39,8 +43,10 @@
     {
         for (const key_server& server : servers_)
             capacity_ += server.capacity;
-        idle_load_per_key_ =
-            idle_key_weight * std::max(weights.total(), 1.0) / key_count;
+        idle_load_per_key_ = std::max(idle_key_weight * weights.total(),
+                                 idle_requests_per_server *
+                                     static_cast<double>(servers.size())) /
+                             key_count;
         limit_key_weights();
         copy_ranges();
     }
@@ -52,7 +58,8 @@
         place_unowned();
         fill_empty_servers();
         balance();
-        join_small_segments();
+        if (options_.may_join)
+            join_small_segments();
         merge_neighbors();
         return build();
     }
@@ -131,17 +138,34 @@
     // Returns the server whose load per capacity is furthest below its target
     // among those that may receive keys, or `none`.
     std::size_t most_underloaded() const
+    {
+        return best_receiver([this](std::size_t index) {
+            return (target(index) - load_[index]) / servers_[index].capacity;
+        });
+    }
+
+    // Returns the server with the most room up to its level as a receiver,
+    // among those that may receive keys, or `none`. A heavy key needs a server
+    // with much room, whatever its capacity.
+    std::size_t most_room() const
+    {
+        return best_receiver([this](std::size_t index) {
+            return target(index) * options_.receiver_level - load_[index];
+        });
+    }
+
+    template <class Room>
+    std::size_t best_receiver(const Room& room_of) const
     {
         std::size_t best = none;
-        double max_deficit = 0;
+        double max_room = 0;
         for (std::size_t index = 0; index < servers_.size(); ++index) {
             if (!servers_[index].may_receive_keys)
                 continue;
-            const double deficit =
-                (target(index) - load_[index]) / servers_[index].capacity;
-            if (best == none || deficit > max_deficit) {
+            const double room = room_of(index);
+            if (best == none || room > max_room) {
                 best = index;
-                max_deficit = deficit;
+                max_room = room;
             }
         }
         return best;
@@ -214,14 +238,15 @@
         }
     }
 
-    // Expected excess of the highest count among servers with equal load,
+    // Bound of the excess of the highest count among servers with equal load,
     // relative to the square root of a server's count. Grows with the number of
     // servers.
-    double expected_excess() const
+    double highest_excess() const
     {
         const double count =
             std::max(static_cast<double>(servers_.size()), 2.0);
-        return options_.count_noise_factor * std::sqrt(2 * std::log(count));
+        return options_.count_noise_factor *
+               (std::sqrt(2 * std::log(count)) + options_.noise_margin);
     }
 
     int max_moves() const
@@ -235,7 +260,7 @@
     {
         const double target_load = target(server);
         const double noise =
-            expected_excess() * std::sqrt(std::max(target_load, 1.0));
+            highest_excess() * std::sqrt(std::max(target_load, 1.0));
         return std::max(
             target_load * options_.max_relative_load, target_load + noise);
     }
--- a/src/routing/key_plan_balancing.cpp
+++ b/src/routing/key_plan_balancing.cpp
@@ -32,18 +32,22 @@
 
 void key_plan::balance()
 {
-    if (weights_.total() < options_.min_requests)
+    if (weights_.total() < options_.min_requests || !options_.may_balance)
         return;
     // A server whose load is one key cannot be relieved of it. It must not
     // keep the plan from relieving the others.
     std::vector<bool> stuck(servers_.size(), false);
-    for (int moves = 0; moves < max_moves(); ++moves) {
+    const int limit = options_.moves_for_balance > 0
+                          ? static_cast<int>(options_.moves_for_balance)
+                          : max_moves();
+    for (int moves = 0; moves < limit; ++moves) {
         const std::size_t from = most_overloaded(stuck);
-        const std::size_t to = most_underloaded();
+        const std::size_t to =
+            options_.receiver_level > 1 ? most_room() : most_underloaded();
         if (from == none || to == none || from == to)
             return;
-        const double wanted_load =
-            std::min(load_[from] - target(from), target(to) - load_[to]);
+        const double wanted_load = std::min(load_[from] - target(from),
+            target(to) * options_.receiver_level - load_[to]);
         if (wanted_load < min_move_fraction * target(to))
             return;
         if (!move_keys(from, to, wanted_load))
