Order versions of the store by epoch and revision

After a restore from an older copy the store issues revisions again, so that instances ignored its objects until the revisions had caught up, and kept servers that had been removed.

The adapter reads the header Store-Era and puts the epoch above 40 bits of revision; in epoch 0, and without the header, all numbers are as before. When the epoch rises, watches and lists begin anew, also between two pages. A write whose reply shows a later epoch has the outcome unknown, and one with a base of another epoch is not sent. A value that decreases or cannot be read is logged as an error. Cost: one list of each kind per restore and watching instance.

--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -61,14 +61,14 @@
         }
     }
     if (update.complete && !found)
-        lease_.on_read(std::nullopt, 0, clock_());
+        lease_.on_read(std::nullopt, store_.absent_revision(), clock_());
     tick_soon();
 }
 
 void fleet_role::apply_lease_reply(const std::string& body)
 {
     try {
-        const auto object = platform_api::decode_object(body);
+        const auto object = platform_api::decode_object(body, store_.epoch());
         lease_.on_read(lease_record::from_text(object.content),
             object.store_revision, clock_());
     } catch (const error& failure) {
@@ -90,7 +90,8 @@
             if (outcome == store_outcome::done)
                 apply_lease_reply(body);
             else if (outcome == store_outcome::not_found)
-                lease_.on_read(std::nullopt, 0, clock_());
+                lease_.on_read(
+                    std::nullopt, store_.absent_revision(), clock_());
             else
                 lease_.on_write_failed(clock_());
         });
@@ -98,19 +99,26 @@
 
 void fleet_role::write_lease(const lease_write& write)
 {
+    const auto base = store_.plain_revision(write.base_revision);
+    if (!base) {
+        // Another instance has told of a later epoch than this process knows.
+        lease_.on_write_failed(clock_());
+        return;
+    }
     http_request request =
-        write.base_revision == 0
-            ? platform_api::create_call(object_kind::coordinator_lease,
-                  lease_name, write.record.text())
-            : platform_api::replace_call(object_kind::coordinator_lease,
-                  lease_name, write.base_revision, write.record.text());
+        *base == 0 ? platform_api::create_call(object_kind::coordinator_lease,
+                         lease_name, write.record.text())
+                   : platform_api::replace_call(object_kind::coordinator_lease,
+                         lease_name, *base, write.record.text());
     store_.call(std::move(request),
         [this](store_outcome outcome, const std::string& body) {
             const time_point now = clock_();
             if (outcome == store_outcome::done) {
                 try {
                     lease_.on_written(
-                        platform_api::decode_object(body).store_revision, now);
+                        platform_api::decode_object(body, store_.epoch())
+                            .store_revision,
+                        now);
                 } catch (const error& failure) {
                     log_event(log_level::warn, "lease reply is malformed",
                         {{log_key::error, failure.what()}});
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -98,7 +98,8 @@
         service.committed_at = now;
         const auto found = stored_tables_.find(id);
         if (found == stored_tables_.end())
-            service.keys.start(std::nullopt, 0, earlier_grants_end_, now);
+            service.keys.start(std::nullopt, store_.absent_revision(),
+                earlier_grants_end_, now);
         else
             service.keys.start(found->second.first, found->second.second,
                 earlier_grants_end_, now);
--- a/src/router/ownership_tables.cpp
+++ b/src/router/ownership_tables.cpp
@@ -33,8 +33,8 @@
             if (outcome != store_outcome::done)
                 return;
             try {
-                const auto page =
-                    platform_api::decode_list(object_kind::key_ownership, body);
+                const auto page = platform_api::decode_list(
+                    object_kind::key_ownership, body, store_.epoch());
                 for (const versioned_object& object : page.objects) {
                     const auto name = platform_api::object_name(
                         object_kind::key_ownership, object.key);
@@ -53,12 +53,16 @@
 void ownership_controller::write(const service_id& id, const table_write& table)
 {
     const std::string& name = id.value();
+    const auto base = store_.plain_revision(table.base_revision);
+    if (!base) {
+        services_.at(id).needs_read_back = true;
+        return;
+    }
     http_request request =
-        table.base_revision == 0
-            ? platform_api::create_call(
-                  object_kind::key_ownership, name, table.text)
-            : platform_api::replace_call(object_kind::key_ownership, name,
-                  table.base_revision, table.text);
+        *base == 0 ? platform_api::create_call(
+                         object_kind::key_ownership, name, table.text)
+                   : platform_api::replace_call(
+                         object_kind::key_ownership, name, *base, table.text);
     store_.call(
         std::move(request), [this, alive = alive_, id](store_outcome outcome,
                                 const std::string& body) {
@@ -81,7 +85,7 @@
         return;
     }
     try {
-        const auto object = platform_api::decode_object(body);
+        const auto object = platform_api::decode_object(body, store_.epoch());
         service.keys.on_written(object.store_revision, clock_());
         service.committed_at = clock_();
         log_event(log_level::info, "ownership table committed",
@@ -115,7 +119,8 @@
                 return;
             }
             try {
-                const auto object = platform_api::decode_object(body);
+                const auto object =
+                    platform_api::decode_object(body, store_.epoch());
                 const bool committed = current.keys.on_read_back(
                     key_table::from_text(object.content), object.store_revision,
                     clock_());
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -38,10 +38,11 @@
 } // namespace
 
 store_watch::store_watch(object_kind kind, http_client& client, counter& calls,
-    std::function<void(const watch_update&)> callback)
+    reply_epochs& epochs, std::function<void(const watch_update&)> callback)
     : kind_(kind),
       client_(client),
       calls_(calls),
+      epochs_(epochs),
       callback_(std::move(callback))
 {
     retry_timer_.setSingleShot(true);
@@ -74,13 +75,34 @@
     list_cursor_.clear();
 }
 
+void store_watch::list_again()
+{
+    if (!started_)
+        return;
+    ++restarts_;
+    retry_timer_.stop();
+    if (open_call_)
+        client_.cancel(*open_call_);
+    open_call_.reset();
+    revision_.reset();
+    resuming_ = false;
+    listed_objects_.clear();
+    list_cursor_.clear();
+    send_next();
+}
+
 void store_watch::send_next()
 {
     if (!started_ || open_call_)
         return;
     if (revision_) {
         const milliseconds wait = resuming_ ? first_watch_wait : watch_wait;
-        send(platform_api::watch_call(kind_, *revision_, wait),
+        if (!epochs_.known().is_current(*revision_)) {
+            list_again();
+            return;
+        }
+        send(platform_api::watch_call(
+                 kind_, epochs_.plain_revision(*revision_), wait),
             wait + watch_slack, false);
     } else {
         send(platform_api::list_call(kind_, list_cursor_), call_timeout, true);
@@ -117,6 +139,18 @@
         retry(result.message);
         return;
     }
+    const std::uint64_t restarts = restarts_;
+    if (!epochs_.accept(*result.response)) {
+        retry("reply of an earlier epoch");
+        return;
+    }
+    // The reply may be of another epoch than the pages or the revision before.
+    if (restarts != restarts_)
+        return;
+    if (revision_ && !epochs_.known().is_current(*revision_)) {
+        list_again();
+        return;
+    }
     const std::string status =
         "status " + std::to_string(result.response->status);
     switch (platform_api::outcome_of(*result.response)) {
@@ -140,7 +174,7 @@
     case store_outcome::not_found:
         if (listing) {
             // The store has no objects of this kind.
-            const std::uint64_t none = 0;
+            const std::uint64_t none = combined_revision(epochs_.current(), 0);
             callback_({kind_, true, {}, none, failures_ > 0});
         }
         revision_.reset();
@@ -165,8 +199,8 @@
         failures_ = 0;
     }
     platform_api::store_page page =
-        listing ? platform_api::decode_list(kind_, body)
-                : platform_api::decode_events(kind_, body);
+        listing ? platform_api::decode_list(kind_, body, epochs_.current())
+                : platform_api::decode_events(kind_, body, epochs_.current());
     if (page.unreadable_objects > 0 && !unreadable_logged_) {
         log_event(log_level::warn, "objects of the store cannot be read",
             {{"kind", platform_api::kind_name(kind_)},
@@ -212,6 +246,8 @@
     : clock_(std::move(clock)),
       calls_(metrics.add_counter(
           "filberthub_store_calls_total", "Calls of the platform's store.")),
+      epochs_(metrics.add_gauge("filberthub_store_epoch",
+          "Epoch of the platform's store; 0 if it reports none.")),
       calls_client_(address, client_options(call_connections)),
       watch_client_(address, client_options(watch_connections))
 {
@@ -230,10 +266,28 @@
     for (const object_kind kind : {object_kind::configuration,
              object_kind::server, object_kind::evacuation}) {
         deployment_.push_back(std::make_unique<store_watch>(
-            kind, watch_client_, calls_, record_update));
+            kind, watch_client_, calls_, epochs_, record_update));
     }
-    lease_ = std::make_unique<store_watch>(
-        object_kind::coordinator_lease, watch_client_, calls_, record_update);
+    lease_ = std::make_unique<store_watch>(object_kind::coordinator_lease,
+        watch_client_, calls_, epochs_, record_update);
+    epochs_.on_risen([this](store_epoch epoch) { on_risen_epoch(epoch); });
+}
+
+void store_session::on_risen_epoch(store_epoch epoch)
+{
+    if (on_epoch_)
+        on_epoch_(epoch);
+    for (const std::unique_ptr<store_watch>& watch : deployment_)
+        watch->list_again();
+    lease_->list_again();
+}
+
+std::optional<std::uint64_t> store_session::plain_revision(
+    std::uint64_t combined) const
+{
+    if (!epochs_.known().is_current(combined))
+        return std::nullopt;
+    return epochs_.plain_revision(combined);
 }
 
 void store_session::watch_deployment(const complete_versions& known)
@@ -287,9 +341,16 @@
 {
     calls_.add();
     const time_point sent = clock_();
+    const bool writes = request.method != "GET";
     calls_client_.send(std::move(request), call_timeout,
-        [this, sent, callback = std::move(callback)](http_result result) {
-            if (!result.response) {
+        [this, sent, writes, epoch = epoch(), callback = std::move(callback)](
+            http_result result) {
+            if (!result.response || !epochs_.accept(*result.response)) {
+                callback(store_outcome::unknown, {});
+                return;
+            }
+            // The condition of the write named a revision of another history.
+            if (writes && epoch != this->epoch()) {
                 callback(store_outcome::unknown, {});
                 return;
             }
--- a/src/router/store_session.hpp
+++ b/src/router/store_session.hpp
@@ -28,6 +28,7 @@
     // Whether `objects` holds all objects of the kind.
     bool complete = false;
     std::vector<versioned_object> objects;
+    // Combined with the epoch of the store, as those of the objects.
     std::uint64_t store_revision = 0;
     // Whether the calls of this watch failed until this reply.
     bool after_outage = false;
@@ -47,19 +48,61 @@
     milliseconds max_retry_delay{1'000};
 };
 
+// Follows the epoch of the store from the headers of its replies.
+class reply_epochs
+{
+public:
+    explicit reply_epochs(gauge& metric) : metric_(metric) {}
+
+    // Returns whether a reply may be used. One of an earlier epoch than the
+    // known one may not. Calls the function set with `on_risen` before it
+    // returns if the reply shows a later one.
+    bool accept(const http_response& response);
+    void on_risen(std::function<void(store_epoch)> callback)
+    {
+        on_risen_ = std::move(callback);
+    }
+    const epoch_tracker& known() const
+    {
+        return known_;
+    }
+    store_epoch current() const
+    {
+        return known_.current();
+    }
+    // Returns the plain revision of one of the current epoch. The store has
+    // issued no other.
+    std::uint64_t plain_revision(std::uint64_t combined) const
+    {
+        return combined - combined_revision(current(), 0);
+    }
+
+private:
+    gauge& metric_;
+    epoch_tracker known_;
+    std::function<void(store_epoch)> on_risen_;
+    // The header that was last logged as unreadable, so that each is logged
+    // once and not with each reply.
+    std::string logged_header_;
+};
+
 // Reads all objects of a kind, unless a revision is known, and then waits for
 // changes. Reads all objects again if the store no longer has the history since
-// the last known revision.
+// the last known revision, or if its epoch has risen.
 class store_watch : public QObject
 {
 public:
     store_watch(platform_api::object_kind kind, http_client& client,
-        counter& calls, std::function<void(const watch_update&)> callback);
+        counter& calls, reply_epochs& epochs,
+        std::function<void(const watch_update&)> callback);
 
-    // Reports the changes since this revision of the store; all objects if it
-    // is 0.
+    // Reports the changes since this combined revision of the store; all
+    // objects if it is 0.
     void start(std::uint64_t known_revision);
     void stop();
+    // Reads all objects again if it is started. To be called when the epoch of
+    // the store has risen.
+    void list_again();
     bool started() const
     {
         return started_;
@@ -94,11 +137,14 @@
     platform_api::object_kind kind_;
     http_client& client_;
     counter& calls_;
+    reply_epochs& epochs_;
     std::function<void(const watch_update&)> callback_;
     QTimer retry_timer_;
     watch_timing timing_;
     bool started_ = false;
     std::optional<call_number> open_call_;
+    // Number of calls of `list_again`.
+    std::uint64_t restarts_ = 0;
     // Revision up to which changes were reported. Present once a complete list
     // was read, or if it was known at the start.
     std::optional<std::uint64_t> revision_;
@@ -143,9 +189,30 @@
     void set_timing(watch_timing timing);
 
     // Makes one call. The callback gets the outcome `unknown` if the store does
-    // not answer in time.
+    // not answer in time, and also for a write that was sent in an earlier
+    // epoch than that of its reply. The epoch of any other reply is `epoch()`.
     void call(http_request request, store_reply_callback callback);
 
+    // The latest epoch that a reply of the store has shown.
+    store_epoch epoch() const
+    {
+        return epochs_.current();
+    }
+    // Sets the function that is called when the epoch has risen, before the
+    // reply that shows it is reported.
+    void on_epoch(std::function<void(store_epoch)> callback)
+    {
+        on_epoch_ = std::move(callback);
+    }
+    // Returns the plain revision that a conditional write has to name, or
+    // nothing if the combined one is of another epoch than the current.
+    std::optional<std::uint64_t> plain_revision(std::uint64_t combined) const;
+    // Returns the combined revision of an object that does not exist.
+    std::uint64_t absent_revision() const
+    {
+        return combined_revision(epoch(), 0);
+    }
+
     // Returns the time up to which all changes of the deployment were reported.
     time_point complete_until(time_point now) const;
 
@@ -157,8 +224,12 @@
     }
 
 private:
+    void on_risen_epoch(store_epoch epoch);
+
     std::function<time_point()> clock_;
     counter& calls_;
+    reply_epochs epochs_;
+    std::function<void(store_epoch)> on_epoch_;
     http_client calls_client_;
     http_client watch_client_;
     std::vector<std::unique_ptr<store_watch>> deployment_;
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -23,7 +23,7 @@
 namespace filberthub::test {
 
 // Answers lists, reads, writes and watches. Conditions of writes are not
-// checked.
+// checked, unless the store reports an epoch.
 class fake_store
 {
 public:
@@ -74,6 +74,44 @@
         return revision_;
     }
 
+    // Sets the header with the epoch, of any text.
+    void set_epoch(const std::string& epoch)
+    {
+        epoch_ = epoch;
+    }
+
+    // The objects and the revision of the store.
+    struct copy
+    {
+        std::map<std::string, std::map<std::string, json>> objects;
+        std::uint64_t revision = 0;
+    };
+
+    copy make_copy() const
+    {
+        return {objects_, revision_};
+    }
+
+    // Goes back to a copy and reports this epoch from now on. Open watches get
+    // status 410, as any that is later than the revision.
+    void restore(const copy& earlier, const std::string& epoch)
+    {
+        objects_ = earlier.objects;
+        revision_ = earlier.revision;
+        events_.clear();
+        epoch_ = epoch;
+        for (const open_watch& watch : std::exchange(watches_, {}))
+            watch.exchange->respond(make_response(410, json::object()));
+    }
+
+    // Sets the number of objects in a page of a list, and a function that is
+    // called after each page with further ones.
+    void set_pages(std::size_t size, std::function<void()> after_page)
+    {
+        page_size_ = size;
+        after_page_ = std::move(after_page);
+    }
+
     // Whether calls are answered with status 503.
     void set_failing(bool failing)
     {
@@ -81,10 +119,12 @@
     }
 
 private:
-    static http_response make_response(int status, const json& body)
+    http_response make_response(int status, const json& body) const
     {
         http_response response;
         response.status = status;
+        if (!epoch_.empty())
+            response.headers.set("Store-Era", epoch_);
         response.body = body.dump();
         return response;
     }
@@ -149,6 +189,10 @@
         ++watch_calls_[kind];
         const bool waits = number_in(target, "WaitMs=") > 1;
         const open_watch watch{kind, after, std::move(exchange)};
+        if (after > revision_) {
+            watch.exchange->respond(make_response(410, json::object()));
+            return;
+        }
         if (answer(watch))
             return;
         if (waits) {
@@ -182,6 +226,16 @@
                 slash == std::string::npos
                     ? document.at("Metadata").at("Name").get<std::string>()
                     : path.substr(slash + 1);
+            const auto stored = objects_[kind].find(name);
+            const json expected =
+                document.at("Metadata").value("Revision", json(nullptr));
+            const json present = stored == objects_[kind].end()
+                                     ? json(nullptr)
+                                     : stored->second["Metadata"]["Revision"];
+            if (!epoch_.empty() && expected != present) {
+                exchange->respond(make_response(409, json::object()));
+                return;
+            }
             put(kind, name, document.at("Spec"));
             exchange->respond(make_response(200, objects_[kind][name]));
             return;
@@ -193,13 +247,27 @@
                                   : make_response(200, found->second));
             return;
         }
-        ++lists_[kind];
+        const std::size_t query = request.target.find("after=");
+        const std::string after = query == std::string::npos
+                                      ? std::string()
+                                      : request.target.substr(query + 6);
+        if (after.empty())
+            ++lists_[kind];
         json items = json::array();
-        for (const auto& [name, object] : objects_[kind])
+        bool more = false;
+        for (const auto& [name, object] : objects_[kind]) {
+            if (name <= after)
+                continue;
+            more = items.size() == page_size_;
+            if (more)
+                break;
             items.push_back(object);
+        }
         exchange->respond(
-            make_response(200, {{"items", items}, {"HasMore", false},
+            make_response(200, {{"items", items}, {"HasMore", more},
                                    {"StoreRevision", revision_}}));
+        if (more && after_page_)
+            after_page_();
     }
 
     http_listener listener_;
@@ -208,6 +276,9 @@
     std::vector<open_watch> watches_;
     std::uint64_t revision_ = 100;
     bool failing_ = false;
+    std::string epoch_;
+    std::size_t page_size_ = 1'000;
+    std::function<void()> after_page_;
     std::map<std::string, std::size_t> lists_;
     std::map<std::string, std::size_t> watch_calls_;
 };
