Count account quotas in sliding windows instead of token buckets

Change: each instance counts requests in a sliding window up to its share of the bound. Shares move between instances; what was counted keeps its share until it is out of the window, also when an instance restarts or its lease ends.

--- a/include/filberthub/routing/account_quota.hpp
+++ b/include/filberthub/routing/account_quota.hpp
@@ -1,7 +1,7 @@
-// Enforces the quotas of client accounts in one instance, with a token bucket
-// for each account that is filled by this instance's share of the account's
-// limit. Designed for some hundreds of accounts and some thousand requests per
-// second; nothing is sent per request.
+// Enforces the quotas of client accounts in one instance, which counts the
+// requests of each account in a sliding window, up to its share of the
+// account's limit. Designed for some hundreds of accounts and some thousand
+// requests per second; nothing is sent per request.
 //
 //     account_quota quota({});
 //     quota.set_accounts(config.accounts(), now);
@@ -15,6 +15,7 @@
 #include <filberthub/routing/client_accounts.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 
 namespace filberthub {
@@ -28,30 +29,19 @@
     double tolerance = 20;
 };
 
-// What the buckets of all instances may have together.
-struct quota_totals
-{
-    // Tokens per second.
-    double rate = 0;
-    double burst = 0;
-};
+// Returns the number of requests of an account in `quota_window` that all
+// instances together may count. Part of the bound is kept back for instances
+// without a share.
+double total_of(const account_limit& limit, const quota_bounds& bounds);
 
-// Returns the totals with which no window exceeds the bound. Part of the bound
-// is kept back for the time from the check of a request to its start at a
-// server, and for instances without a share.
-quota_totals totals_of(const account_limit& limit, const quota_bounds& bounds);
+// Time after which a counted request is forgotten: the window and the time from
+// the check of most requests to their start at a server.
+milliseconds quota_window(const quota_bounds& bounds);
 
-// Part of the totals of an account, in millionths. Integers, so that sums are
+// Part of the total of an account, in millionths. An integer, so that sums are
 // exact.
-struct quota_share
-{
-    static constexpr std::int64_t whole = 1'000'000;
-
-    std::int64_t rate = 0;
-    std::int64_t burst = 0;
-
-    bool operator==(const quota_share&) const = default;
-};
+using quota_share = std::int64_t;
+inline constexpr quota_share whole_quota = 1'000'000;
 
 using quota_shares = std::map<std::string, quota_share>;
 
@@ -72,6 +62,9 @@
     quota_shares shares;
     // Requests of each account since the last report, also rejected ones.
     std::map<std::string, std::uint32_t> requests;
+    // Counted requests that are not forgotten. They may exceed the share, if it
+    // was lowered.
+    std::map<std::string, std::uint32_t> counted;
 };
 
 // What the coordinator replies.
@@ -84,9 +77,9 @@
     quota_shares changes;
 };
 
-// Guarantees that an account gets at most (share of the rate x time + share of
-// the burst) requests in any period, and that shares are not used after their
-// lease. The clock behind `now` must advance while the process is suspended.
+// Guarantees that an account gets at most its share of the total in each
+// window, and that shares are not used after their lease. The clock behind
+// `now` must advance while the process is suspended.
 class account_quota
 {
 public:
@@ -102,10 +95,10 @@
         fleet_size_ = size;
     }
 
-    // Counts a request and returns whether it is within the quota.
+    // Returns whether a request is within the quota, and counts it if so.
     bool try_take(const std::string& account, time_point now);
-    // To be called for a request that was counted and has not run.
-    void credit(const std::string& account, time_point now);
+    // To be called for a request that was counted at this time and has not run.
+    void credit(const std::string& account, time_point counted_at);
     // Returns the time until the next request is within the quota, or `limit`
     // if that is shorter.
     milliseconds wait(
@@ -118,22 +111,22 @@
     void apply(const quota_reply& reply, time_point sent, time_point now);
 
 private:
-    struct bucket
+    struct usage
     {
         account_limit limit;
-        quota_share share;
-        double tokens = 0;
-        time_point filled_at;
+        quota_share share = 0;
+        // When the requests were counted, in order.
+        std::deque<time_point> counted;
     };
 
-    quota_totals size_of(const bucket& item) const;
-    void fill(bucket& item, time_point now) const;
-    void fill_all(time_point now);
+    std::size_t allowance(const usage& item) const;
+    void forget(usage& item, time_point now) const;
+    void set_shares();
     void check_lease(time_point now);
 
     quota_bounds bounds_;
     std::size_t fleet_size_ = 1;
-    std::map<std::string, bucket> buckets_;
+    std::map<std::string, usage> usages_;
     quota_shares shares_;
     std::map<std::string, std::uint32_t> requests_;
     std::uint64_t run_ = 0;
--- a/include/filberthub/routing/quota_allocator.hpp
+++ b/include/filberthub/routing/quota_allocator.hpp
@@ -20,7 +20,8 @@
 // Guarantees that the shares of an account that instances may use at any time
 // are at most the whole: a share is raised only by what no instance may use. An
 // instance may use a lowered share until its poll reports the new number, and
-// each share until `quota_lease` after its last poll. Must be used only while
+// each share until `quota_lease` after its last poll. What it has counted uses
+// its share for a further window. Must be used only while
 // the process holds the coordinator lease.
 class quota_allocator
 {
@@ -50,9 +51,13 @@
 private:
     struct entry
     {
-        quota_share confirmed;
-        quota_share offered;
-        quota_share target;
+        quota_share confirmed = 0;
+        quota_share offered = 0;
+        quota_share target = 0;
+        // Requests that the instance has counted in the window.
+        double counted = 0;
+        // The same as a share of the total.
+        quota_share counted_share = 0;
         // Requests per second.
         double demand = 0;
     };
@@ -70,15 +75,23 @@
         std::map<std::string, entry> entries;
     };
 
-    struct account_plan;
+    // A share that its instance does not use any more. The requests that were
+    // counted in it are in the window until this time.
+    struct retired_share
+    {
+        std::string account;
+        quota_share share = 0;
+        time_point until;
+    };
 
     static quota_share used_share(const member& owner, const entry& item);
     quota_share offer(const std::string& account, const entry& item) const;
+    void retire(const member& owner, time_point now);
     void add_used(const std::string& account, quota_share share, int sign);
     void add_used(const member& owner, int sign);
-    void settle(member& owner, const quota_report& report);
-    static void count_demand(
-        member& owner, const quota_report& report, time_point now);
+    void settle(member& owner, const quota_report& report, time_point now);
+    void count_demand(
+        member& owner, const quota_report& report, time_point now) const;
     void plan_account(
         const client_account& account, const quota_bounds& bounds);
 
@@ -87,8 +100,12 @@
     std::uint64_t last_number_ = 0;
     time_point next_plan_;
     std::map<instance_id, member> members_;
-    // Sums of `used_share`.
+    std::vector<retired_share> retired_;
+    // Sums of `used_share` and of the retired shares.
     quota_shares used_;
+    // Totals of the accounts that have a limit.
+    std::map<std::string, double> totals_;
+    milliseconds window_ = quota_window({});
 };
 
 } // namespace filberthub
--- a/src/routing/account_quota.cpp
+++ b/src/routing/account_quota.cpp
@@ -5,139 +5,123 @@
 namespace filberthub {
 namespace {
 
-// Part of the overage that is kept back for requests that start at a server
-// some time after they were counted: 0.3 s of the rate if the burst is 1 s of
-// it and the window 5 s.
-constexpr double delay_reserve = 0.5;
+// Requests that wait longer for their server may start in a later window. Costs
+// a twentieth of the rate, which is half of the usual overage.
+constexpr milliseconds start_delay{250};
 // Part of the tolerance for instances without a share.
 constexpr double fallback_reserve = 0.2;
-// Rounding errors of a bucket that holds a whole token.
+// A share that was rounded up may exceed a whole number of requests by less.
 constexpr double rounding = 1e-6;
 
-double part_of(double total, std::int64_t share)
-{
-    return total * static_cast<double>(share) /
-           static_cast<double>(quota_share::whole);
-}
+} // namespace
 
-double seconds(milliseconds time)
+milliseconds quota_window(const quota_bounds& bounds)
 {
-    return static_cast<double>(time.count()) / 1000;
+    return bounds.window + start_delay;
 }
 
-} // namespace
-
-quota_totals totals_of(const account_limit& limit, const quota_bounds& bounds)
+double total_of(const account_limit& limit, const quota_bounds& bounds)
 {
-    const double base = limit.rate * seconds(bounds.window) + limit.burst;
-    return {limit.rate, limit.burst +
-                            base * bounds.overage * (1 - delay_reserve) +
-                            bounds.tolerance * (1 - fallback_reserve)};
+    const double seconds = std::chrono::duration<double>(bounds.window).count();
+    return (limit.rate * seconds + limit.burst) * (1 + bounds.overage) +
+           bounds.tolerance * (1 - fallback_reserve);
 }
 
-// Without a share, the part of the tolerance is the size of the bucket, which
-// fills once in a window.
-quota_totals account_quota::size_of(const bucket& item) const
+std::size_t account_quota::allowance(const usage& item) const
 {
-    if (item.share == quota_share{}) {
-        const double part = bounds_.tolerance * fallback_reserve /
-                            static_cast<double>(fleet_size_);
-        return {part / 2 / std::max(seconds(bounds_.window), 0.001), part / 2};
-    }
-    const quota_totals totals = totals_of(item.limit, bounds_);
-    return {part_of(totals.rate, item.share.rate),
-        part_of(totals.burst, item.share.burst)};
+    const double part = item.share == 0 ? bounds_.tolerance * fallback_reserve /
+                                              static_cast<double>(fleet_size_)
+                                        : total_of(item.limit, bounds_) *
+                                              static_cast<double>(item.share) /
+                                              static_cast<double>(whole_quota);
+    return static_cast<std::size_t>(part + rounding);
 }
 
-void account_quota::fill(bucket& item, time_point now) const
+void account_quota::forget(usage& item, time_point now) const
 {
-    const quota_totals size = size_of(item);
-    const double time =
-        std::chrono::duration<double>(now - item.filled_at).count();
-    item.tokens =
-        std::min(size.burst, item.tokens + size.rate * std::max(time, 0.0));
-    item.filled_at = std::max(item.filled_at, now);
+    const milliseconds window = quota_window(bounds_);
+    while (!item.counted.empty() && now >= item.counted.front() + window)
+        item.counted.pop_front();
 }
 
-void account_quota::fill_all(time_point now)
+void account_quota::set_shares()
 {
-    for (auto& [name, item] : buckets_)
-        fill(item, now);
+    for (auto& [name, item] : usages_) {
+        const auto share = shares_.find(name);
+        item.share = share == shares_.end() ? 0 : share->second;
+    }
 }
 
-// Ends the lease at its time, also if this is called later.
 void account_quota::check_lease(time_point now)
 {
     if (run_ == 0 || now < lease_end_)
         return;
-    fill_all(lease_end_);
     run_ = 0;
     number_ = 0;
     shares_.clear();
-    for (auto& [name, item] : buckets_)
-        item.share = {};
-    fill_all(now);
+    set_shares();
 }
 
 void account_quota::set_accounts(
     const client_accounts& accounts, time_point now)
 {
     check_lease(now);
-    fill_all(now);
-    std::map<std::string, bucket> next;
+    std::map<std::string, usage> next;
     for (const client_account& account : accounts.all()) {
         if (!account.limit)
             continue;
-        const auto known = buckets_.find(account.name);
-        bucket item = known == buckets_.end() ? bucket{} : known->second;
+        usage& item = next[account.name];
+        const auto known = usages_.find(account.name);
+        if (known != usages_.end())
+            item = std::move(known->second);
         item.limit = *account.limit;
-        const auto share = shares_.find(account.name);
-        item.share = share == shares_.end() ? quota_share{} : share->second;
-        item.filled_at = now;
-        next.emplace(account.name, item);
     }
-    buckets_ = std::move(next);
-    fill_all(now);
+    usages_ = std::move(next);
+    set_shares();
 }
 
 bool account_quota::try_take(const std::string& account, time_point now)
 {
     check_lease(now);
-    const auto found = buckets_.find(account);
-    if (found == buckets_.end())
+    const auto found = usages_.find(account);
+    if (found == usages_.end())
         return true;
     ++requests_[account];
-    fill(found->second, now);
-    if (found->second.tokens < 1 - rounding)
+    usage& item = found->second;
+    forget(item, now);
+    if (item.counted.size() >= allowance(item))
         return false;
-    found->second.tokens = std::max(found->second.tokens - 1, 0.0);
+    item.counted.push_back(now);
     return true;
 }
 
-void account_quota::credit(const std::string& account, time_point now)
+void account_quota::credit(const std::string& account, time_point counted_at)
 {
-    check_lease(now);
-    const auto found = buckets_.find(account);
-    if (found == buckets_.end())
+    const auto found = usages_.find(account);
+    if (found == usages_.end())
         return;
-    ++found->second.tokens;
-    fill(found->second, now);
+    std::deque<time_point>& counted = found->second.counted;
+    const auto position =
+        std::lower_bound(counted.begin(), counted.end(), counted_at);
+    if (position != counted.end() && *position == counted_at)
+        counted.erase(position);
 }
 
 milliseconds account_quota::wait(
     const std::string& account, time_point now, milliseconds limit) const
 {
-    const auto found = buckets_.find(account);
-    if (found == buckets_.end())
+    const auto found = usages_.find(account);
+    if (found == usages_.end())
+        return milliseconds(0);
+    const std::deque<time_point>& counted = found->second.counted;
+    const std::size_t allowed = allowance(found->second);
+    if (counted.size() < allowed)
         return milliseconds(0);
-    bucket item = found->second;
-    fill(item, now);
-    const quota_totals size = size_of(item);
-    const double missing = 1 - item.tokens;
-    if (size.burst < 1 - rounding || missing >= size.rate * seconds(limit))
+    if (allowed == 0)
         return limit;
-    return std::chrono::ceil<milliseconds>(
-        std::chrono::duration<double>(std::max(missing, 0.0) / size.rate));
+    const auto time = std::chrono::ceil<milliseconds>(
+        counted[counted.size() - allowed] + quota_window(bounds_) - now);
+    return std::clamp(time, milliseconds(1), limit);
 }
 
 quota_report account_quota::take_report(time_point now)
@@ -152,6 +136,12 @@
     report.number = number_;
     report.shares = shares_;
     report.requests.swap(requests_);
+    for (auto& [name, item] : usages_) {
+        forget(item, now);
+        if (!item.counted.empty())
+            report.counted[name] =
+                static_cast<std::uint32_t>(item.counted.size());
+    }
     return report;
 }
 
@@ -162,11 +152,10 @@
     const bool known = reply.run == run_ && reply.base == number_;
     if (now >= sent + quota_lease || (reply.base != 0 && !known))
         return;
-    fill_all(now);
     if (reply.base == 0)
         shares_.clear();
     for (const auto& [name, share] : reply.changes) {
-        if (share == quota_share{})
+        if (share == 0)
             shares_.erase(name);
         else
             shares_[name] = share;
@@ -174,11 +163,7 @@
     run_ = reply.run;
     number_ = reply.number;
     lease_end_ = sent + quota_lease;
-    for (auto& [name, item] : buckets_) {
-        const auto share = shares_.find(name);
-        item.share = share == shares_.end() ? quota_share{} : share->second;
-    }
-    fill_all(now);
+    set_shares();
 }
 
 } // namespace filberthub
--- a/src/routing/quota_allocator.cpp
+++ b/src/routing/quota_allocator.cpp
@@ -9,120 +9,101 @@
 constexpr milliseconds plan_interval{250};
 // Short enough to follow a burst of some seconds, and long enough to remember
 // an instance with one request in a few seconds.
-constexpr double demand_half_life_s = 2;
-// Below this demand, in requests per second, an instance is regarded as idle.
-constexpr double min_demand = 0.01;
-// Parts of the rate that are divided evenly: much while the account has rate to
-// spare, so that an instance that gets its first requests can serve them.
-constexpr double max_even_part = 0.3;
-constexpr double min_even_part = 0.02;
-// Part of the burst beyond one token for each active instance that idle
-// instances get.
-constexpr double idle_burst_part = 0.5;
-// A smaller change of a share is not sent.
-constexpr double min_change = 0.08;
+constexpr double demand_half_life_s = 4;
+// Weight of an idle instance for the division of the spare part, in requests in
+// a window.
+constexpr double idle_weight = 1;
+// A smaller change of a share is not sent. Single requests are, as a small
+// account has only a few for each instance.
+constexpr double min_change = 0.15;
 
-bool differs(std::int64_t from, std::int64_t to)
+bool differs(quota_share from, quota_share to)
 {
     return std::abs(static_cast<double>(to - from)) >
            min_change * static_cast<double>(from);
 }
 
-std::int64_t to_share(double part)
+// Returns the smallest share that allows this number of requests.
+quota_share share_of(double requests, double total)
 {
-    return static_cast<std::int64_t>(
-        std::clamp(part, 0.0, 1.0) * static_cast<double>(quota_share::whole));
+    return static_cast<quota_share>(
+        std::ceil(requests / total * static_cast<double>(whole_quota) - 1e-9));
 }
 
-} // namespace
-
-// The instances of one account while it is planned.
-struct quota_allocator::account_plan
+// Rounds the numbers down, and adds the rest to those with the largest
+// fractions.
+void round_numbers(std::vector<double>& numbers, double total)
 {
-    std::vector<entry*> items;
-    double demand = 0;
-
-    void set_rates(double limit) const
-    {
-        const double even =
-            demand < min_demand
-                ? 1
-                : std::clamp(max_even_part * (1 - demand / limit),
-                      min_even_part, max_even_part);
-        for (entry* item : items) {
-            const double by_demand =
-                demand < min_demand ? 0 : item->demand / demand;
-            item->target.rate =
-                to_share(even / static_cast<double>(items.size()) +
-                         (1 - even) * by_demand);
-        }
+    std::vector<std::pair<double, std::size_t>> fractions;
+    for (std::size_t index = 0; index < numbers.size(); ++index) {
+        const double number = std::floor(numbers[index]);
+        fractions.emplace_back(numbers[index] - number, index);
+        numbers[index] = number;
+        total -= number;
+    }
+    std::stable_sort(fractions.begin(), fractions.end(),
+        [](const auto& left, const auto& right) {
+            return left.first > right.first;
+        });
+    for (const auto& [fraction, index] : fractions) {
+        if (total < 1)
+            return;
+        numbers[index] += 1;
+        total -= 1;
     }
+}
 
-    // Whole tokens first, because less than one admits nothing.
-    void set_bursts(double total)
-    {
-        std::stable_sort(items.begin(), items.end(),
-            [](const entry* left, const entry* right) {
-                return left->demand > right->demand;
-            });
-        const auto token = static_cast<std::int64_t>(
-            std::ceil(quota_share::whole / std::max(total, 1.0)));
-        const auto active = static_cast<std::size_t>(
-            std::find_if(items.begin(), items.end(),
-                [](const entry* item) { return item->demand < min_demand; }) -
-            items.begin());
-        std::int64_t left = quota_share::whole;
-        const auto give_tokens = [&](std::size_t from, std::size_t to,
-                                     std::int64_t limit) {
-            for (std::size_t index = from; index < to; ++index) {
-                const std::int64_t given = limit >= token ? token : 0;
-                items[index]->target.burst = given;
-                limit -= given;
-                left -= given;
-            }
-        };
-        give_tokens(0, active, left);
-        give_tokens(active, items.size(),
-            active == 0 ? left
-                        : static_cast<std::int64_t>(
-                              static_cast<double>(left) * idle_burst_part));
-        // The deviation of a number of requests is the root of its mean.
-        const std::size_t receivers = active > 0 ? active : items.size();
-        double weights = 0;
-        for (std::size_t index = 0; index < receivers; ++index)
-            weights += std::sqrt(items[index]->demand + min_demand);
-        const auto rest = static_cast<double>(left);
-        for (std::size_t index = 0; index < receivers; ++index) {
-            items[index]->target.burst += static_cast<std::int64_t>(
-                rest * std::sqrt(items[index]->demand + min_demand) / weights);
+// Divides the requests of an account. Each instance gets what it has counted or
+// needs, and a part of the rest by the deviation of its need, which is the root
+// of it. If the account needs more than it may have, all get the same part of
+// their need.
+std::vector<double> divide(const std::vector<double>& needs,
+    const std::vector<double>& counted, double total)
+{
+    double need = 0;
+    double least = 0;
+    double weights = 0;
+    for (std::size_t index = 0; index < needs.size(); ++index) {
+        need += needs[index];
+        least += std::max(needs[index], counted[index]);
+        weights += std::sqrt(needs[index] + idle_weight);
+    }
+    std::vector<double> result;
+    for (std::size_t index = 0; index < needs.size(); ++index) {
+        if (least > total) {
+            result.push_back(total * needs[index] / std::max(need, 1e-9));
+            continue;
         }
+        result.push_back(
+            std::max(needs[index], counted[index]) +
+            (total - least) * std::sqrt(needs[index] + idle_weight) / weights);
     }
-};
+    round_numbers(result, total);
+    return result;
+}
+
+} // namespace
 
 quota_allocator::quota_allocator(
     std::uint64_t run, time_point earlier_leases_end)
-    : run_(run), allocates_from_(earlier_leases_end + quota_lease)
+    : run_(run), allocates_from_(earlier_leases_end + quota_lease + window_)
 {}
 
 void quota_allocator::shorten_earlier_leases(time_point end)
 {
-    allocates_from_ = std::min(allocates_from_, end + quota_lease);
+    allocates_from_ = std::min(allocates_from_, end + quota_lease + window_);
 }
 
 quota_share quota_allocator::used_share(const member& owner, const entry& item)
 {
-    if (!owner.offer_open)
-        return item.confirmed;
-    return {std::max(item.confirmed.rate, item.offered.rate),
-        std::max(item.confirmed.burst, item.offered.burst)};
+    const quota_share share = std::max(item.confirmed, item.counted_share);
+    return owner.offer_open ? std::max(share, item.offered) : share;
 }
 
 void quota_allocator::add_used(
     const std::string& account, quota_share share, int sign)
 {
-    quota_share& sum = used_[account];
-    sum.rate += sign * share.rate;
-    sum.burst += sign * share.burst;
+    used_[account] += sign * share;
 }
 
 void quota_allocator::add_used(const member& owner, int sign)
@@ -131,8 +112,22 @@
         add_used(account, used_share(owner, item), sign);
 }
 
+// Counts the shares of an instance as used until all requests in them are out
+// of the window.
+void quota_allocator::retire(const member& owner, time_point now)
+{
+    for (const auto& [account, item] : owner.entries) {
+        const quota_share share = used_share(owner, item);
+        if (share == 0)
+            continue;
+        add_used(account, share, 1);
+        retired_.push_back({account, share, now + window_});
+    }
+}
+
 // Finds out which shares the instance uses.
-void quota_allocator::settle(member& owner, const quota_report& report)
+void quota_allocator::settle(
+    member& owner, const quota_report& report, time_point now)
 {
     owner.unknown_state = false;
     if (report.run == run_ && report.number == owner.offered_number) {
@@ -146,8 +141,11 @@
         owner.unknown_state = true;
         return;
     } else {
+        // The process may be another one, which does not know what the earlier
+        // one has counted.
+        retire(owner, now);
         for (auto& [account, item] : owner.entries)
-            item.confirmed = {};
+            item.confirmed = 0;
         for (const auto& [account, share] : report.shares)
             owner.entries[account].confirmed = share;
         owner.confirmed_number = 0;
@@ -157,10 +155,12 @@
 }
 
 void quota_allocator::count_demand(
-    member& owner, const quota_report& report, time_point now)
+    member& owner, const quota_report& report, time_point now) const
 {
     for (const auto& [account, count] : report.requests)
         owner.entries.try_emplace(account);
+    for (const auto& [account, count] : report.counted)
+        owner.entries.try_emplace(account);
     const double time = std::max(
         std::chrono::duration<double>(now - owner.last_report).count(), 0.05);
     const double weight = 1 - std::exp2(-time / demand_half_life_s);
@@ -169,6 +169,11 @@
         const double rate =
             found == report.requests.end() ? 0 : found->second / time;
         item.demand += weight * (rate - item.demand);
+        const auto counted = report.counted.find(account);
+        const auto total = totals_.find(account);
+        item.counted = counted == report.counted.end() ? 0 : counted->second;
+        item.counted_share =
+            total == totals_.end() ? 0 : share_of(item.counted, total->second);
     }
 }
 
@@ -182,7 +187,7 @@
     else if (report.sequence <= owner.sequence)
         return;
     add_used(owner, -1);
-    settle(owner, report);
+    settle(owner, report, now);
     count_demand(owner, report, now);
     add_used(owner, 1);
     owner.sequence = report.sequence;
@@ -199,16 +204,26 @@
             ++it;
             continue;
         }
+        // The requests that were counted up to the end of the lease.
         add_used(it->second, -1);
+        retire(it->second, it->second.last_report + quota_lease);
         it = members_.erase(it);
     }
+    std::erase_if(retired_, [&](const retired_share& item) {
+        if (std::min(confirmed, now) < item.until)
+            return false;
+        add_used(item.account, item.share, -1);
+        return true;
+    });
     if (now < next_plan_)
         return;
     next_plan_ = now + plan_interval;
     for (auto& [instance, owner] : members_) {
         for (auto& [account, item] : owner.entries)
-            item.target = {};
+            item.target = 0;
     }
+    window_ = quota_window(bounds);
+    totals_.clear();
     for (const client_account& account : accounts.all()) {
         if (account.limit)
             plan_account(account, bounds);
@@ -218,16 +233,24 @@
 void quota_allocator::plan_account(
     const client_account& account, const quota_bounds& bounds)
 {
-    account_plan plan;
+    const double total = total_of(*account.limit, bounds);
+    totals_[account.name] = total;
+    std::vector<entry*> items;
+    std::vector<double> needs;
+    std::vector<double> counted;
     for (auto& [instance, owner] : members_) {
         entry& item = owner.entries[account.name];
-        plan.items.push_back(&item);
-        plan.demand += item.demand;
+        items.push_back(&item);
+        needs.push_back(
+            item.demand * std::chrono::duration<double>(window_).count());
+        counted.push_back(item.counted);
+    }
+    const std::vector<double> numbers = divide(needs, counted, total);
+    quota_share left = whole_quota;
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        items[index]->target = std::min(share_of(numbers[index], total), left);
+        left -= items[index]->target;
     }
-    if (plan.items.empty())
-        return;
-    plan.set_rates(account.limit->rate);
-    plan.set_bursts(totals_of(*account.limit, bounds).burst);
 }
 
 // Returns the share that the instance is offered, which is at most its own plus
@@ -235,19 +258,12 @@
 quota_share quota_allocator::offer(
     const std::string& account, const entry& item) const
 {
+    if (item.target != 0 && !differs(item.confirmed, item.target))
+        return item.confirmed;
     const auto found = used_.find(account);
-    const quota_share used =
-        found == used_.end() ? quota_share{} : found->second;
-    const auto limited = [](std::int64_t from, std::int64_t to,
-                             std::int64_t sum) {
-        if (to != 0 && !differs(from, to))
-            return from;
-        const std::int64_t left =
-            std::max<std::int64_t>(quota_share::whole - sum, 0);
-        return std::min(to, from + left);
-    };
-    return {limited(item.confirmed.rate, item.target.rate, used.rate),
-        limited(item.confirmed.burst, item.target.burst, used.burst)};
+    const quota_share used = found == used_.end() ? 0 : found->second;
+    return std::min(item.target,
+        item.confirmed + std::max<quota_share>(whole_quota - used, 0));
 }
 
 std::optional<quota_reply> quota_allocator::reply_for(
@@ -267,7 +283,7 @@
     for (auto& [account, item] : owner.entries) {
         item.offered =
             now >= allocates_from_ ? offer(account, item) : item.confirmed;
-        if (reply.base == 0 ? item.offered != quota_share{}
+        if (reply.base == 0 ? item.offered != 0
                             : item.offered != item.confirmed)
             reply.changes[account] = item.offered;
     }
