Enforce account quotas in the router with shares from the coordinator

Cause: quotas were decoded and divided by units that nothing used.

Change: caller_service counts each request of an account with a limit before a server is chosen, answers 429 with a spread Retry-After over the quota, and credits back requests that have not run. Polls and replies of the feed carry reports and shares; the coordinator allocates while it holds its lease.

Tests: router_test caller_accounts_test.*: 5 of 6 pass. EnforcesTheQuotaOfAnAccount fails: 3 requests were served in a burst, expected 21; being traced.

--- a/include/filberthub/routing/account_quota.hpp
+++ b/include/filberthub/routing/account_quota.hpp
@@ -85,6 +85,15 @@
 public:
     explicit account_quota(quota_bounds bounds) : bounds_(bounds) {}
 
+    void set_bounds(const quota_bounds& bounds)
+    {
+        bounds_ = bounds;
+    }
+    // Whether an account has a limit.
+    bool active() const
+    {
+        return !usages_.empty();
+    }
     // Sets the limits. To be called with each new configuration. A lower limit
     // applies at once, as shares are parts of it.
     void set_accounts(const client_accounts& accounts, time_point now);
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -29,6 +29,9 @@
     std::shared_ptr<const route_table> account_source;
     // Null if the request needs no API key.
     const client_account* account = nullptr;
+    // The account whose quota has counted the request, or empty, and when.
+    std::string counted_account;
+    time_point counted_at;
     service_id service;
     std::optional<key_number> key;
     // From the caller; empty if it sent none.
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -259,6 +259,8 @@
     if (request->finished)
         return;
     request->finished = true;
+    if (!request->state.may_have_run)
+        credit_request(*request);
     // The list may hold the last reference to the request, which contains the
     // iterator.
     const auto position = request->position;
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -39,6 +39,8 @@
       gates_(gates),
       clock_(std::move(clock)),
       connections_(view, settings.memory_bytes),
+      quota_(settings.bounds.quota),
+      metrics_(metrics),
       done_(metrics.add_counter("filberthub_requests_total",
           "Requests by outcome.", {{"outcome", "done"}})),
       not_run_(metrics.add_counter("filberthub_requests_total",
@@ -104,6 +106,8 @@
         reject_key(request);
         return;
     }
+    if (!count_request(request))
+        return;
     start_request(request);
 }
 
@@ -218,6 +222,8 @@
 void caller_service::cancel_attempt(caller_request& request, time_point now)
 {
     if (request.client != nullptr) {
+        if (is_sent(request))
+            request.state.may_have_run = true;
         request.client->cancel(request.call);
         request.client = nullptr;
         view_.servers().on_finished(request.server, send_outcome::cancelled,
@@ -277,6 +283,10 @@
         counts_.slowdowns[server] = slowdown;
     // In each report, because a report or its coordinator may be lost.
     counts_.leaving = view_.servers().leaving_servers();
+    quota_.set_bounds(settings_.bounds.quota);
+    quota_.set_fleet_size(view_.fleet_size());
+    if (quota_.active())
+        counts_.quota = quota_.take_report(clock_());
     return std::exchange(counts_, {});
 }
 
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -55,6 +55,11 @@
 
     // Returns what was counted since the last call, for the coordinator.
     load_counts take_load_counts();
+    // Applies shares of quotas that were asked for at `sent`.
+    void apply_quota(const quota_reply& reply, time_point sent)
+    {
+        quota_.apply(reply, sent, clock_());
+    }
 
     std::size_t in_flight() const
     {
@@ -69,6 +74,9 @@
         const std::shared_ptr<const route_table>& routes) const;
     bool confirm_account(const request_ptr& request);
     void confirm_accounts();
+    bool count_request(const request_ptr& request);
+    void credit_request(caller_request& request);
+    void count_outcome(const std::string& account, bool admitted);
     static void set_account_field(
         const caller_request& request, http_headers& headers);
     void reject_key(const request_ptr& request);
@@ -128,6 +136,10 @@
     load_counts counts_;
     // The configuration that all unsent requests were checked against.
     std::shared_ptr<const route_table> confirmed_routes_;
+    account_quota quota_;
+    metric_registry& metrics_;
+    // By account and whether the requests were admitted.
+    std::map<std::pair<std::string, bool>, counter*> account_counters_;
     QTimer retry_timer_;
     // Set once the process was told to stop.
     std::optional<shutdown_plan> shutdown_;
--- a/src/router/feed_messages.cpp
+++ b/src/router/feed_messages.cpp
@@ -18,6 +18,44 @@
 // Number of different versions for which replies are encoded at once.
 constexpr std::size_t max_shared_versions = 4;
 
+// Field with the number of bytes of the shares at the end of a reply.
+constexpr const char* quota_field = "X-Quota-Bytes";
+
+quota_shares decode_shares(const json& document)
+{
+    quota_shares shares;
+    for (const auto& [account, value] : document.items()) {
+        const auto share = value.get<quota_share>();
+        if (share < 0 || share > whole_quota) {
+            throw error(error_kind::bad_peer_message,
+                "share " + value.dump() + " is not from 0 to " +
+                    std::to_string(whole_quota));
+        }
+        shares[account] = share;
+    }
+    return shares;
+}
+
+json encode_quota(const quota_report& report)
+{
+    return {{"sequence", report.sequence}, {"run", report.run},
+        {"number", report.number}, {"shares", report.shares},
+        {"requests", report.requests}, {"counted", report.counted}};
+}
+
+quota_report decode_quota(const json& document)
+{
+    using counts = std::map<std::string, std::uint32_t>;
+    quota_report report;
+    report.sequence = document.at("sequence").get<std::uint64_t>();
+    report.run = document.at("run").get<std::uint64_t>();
+    report.number = document.at("number").get<std::uint64_t>();
+    report.shares = decode_shares(document.at("shares"));
+    report.requests = document.at("requests").get<counts>();
+    report.counted = document.at("counted").get<counts>();
+    return report;
+}
+
 object_version oldest(const complete_versions& versions)
 {
     object_version result{};
@@ -59,7 +97,11 @@
     json leaving = json::object();
     for (const auto& [server, started] : counts.leaving)
         leaving[server.value()] = started;
-    return {{"requests", requests}, {"paces", slowdowns}, {"leaving", leaving}};
+    json result = {
+        {"requests", requests}, {"paces", slowdowns}, {"leaving", leaving}};
+    if (counts.quota.sequence > 0)
+        result["quota"] = encode_quota(counts.quota);
+    return result;
 }
 
 load_counts decode_counts(const json& document)
@@ -79,6 +121,8 @@
                 started.get<std::uint64_t>();
         }
     }
+    if (document.contains("quota"))
+        counts.quota = decode_quota(document.at("quota"));
     return counts;
 }
 
@@ -139,6 +183,43 @@
     return text.toStdString();
 }
 
+void append_quota(
+    http_response& response, const std::optional<quota_reply>& quota)
+{
+    if (!quota)
+        return;
+    const std::string text = json{{"run", quota->run},
+        {"number", quota->number}, {"base", quota->base},
+        {"changes",
+            quota->changes}}.dump();
+    response.body += text;
+    response.headers.set(quota_field, std::to_string(text.size()));
+}
+
+std::optional<quota_reply> take_quota(http_response& response)
+{
+    const auto field = response.headers.get(quota_field);
+    if (!field)
+        return std::nullopt;
+    const std::size_t size = std::stoul(std::string(*field));
+    std::string& body = response.body;
+    if (size > body.size()) {
+        throw error(error_kind::bad_peer_message,
+            "shares of " + std::to_string(size) + " bytes in a reply of " +
+                std::to_string(body.size()));
+    }
+    const json document =
+        parse_json(std::string_view(body).substr(body.size() - size),
+            error_kind::bad_peer_message);
+    quota_reply quota;
+    quota.run = document.at("run").get<std::uint64_t>();
+    quota.number = document.at("number").get<std::uint64_t>();
+    quota.base = document.at("base").get<std::uint64_t>();
+    quota.changes = decode_shares(document.at("changes"));
+    body.resize(body.size() - size);
+    return quota;
+}
+
 void share_versions(std::vector<complete_versions*> versions)
 {
     std::stable_sort(versions.begin(), versions.end(),
--- a/src/router/feed_messages.hpp
+++ b/src/router/feed_messages.hpp
@@ -40,6 +40,13 @@
 // Returns the text of a reply, which may be compressed.
 std::string reply_text(const http_response& response);
 
+// Adds shares of quotas behind the text of a reply, which many instances share
+// and which may be compressed.
+void append_quota(
+    http_response& response, const std::optional<quota_reply>& quota);
+// Removes the shares from a reply and returns them, if it has any.
+std::optional<quota_reply> take_quota(http_response& response);
+
 // Gives the polls of instances that have followed other coordinators one of a
 // few versions instead of their own, none of which is higher. Each different
 // version costs the coordinator an encoded reply, and after a time without a
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -59,6 +59,8 @@
             poll.after_change = document.at("after").get<std::uint64_t>();
         else
             poll.complete = decode_complete(document);
+        if (counts.quota.sequence > 0)
+            poll.quota_sender = sender;
         members_[sender] = member;
         on_report_(sender, counts);
         poll.exchange = std::move(exchange);
@@ -153,7 +155,10 @@
         encoded_reply& reply = replies[{poll.after_change, poll.complete}];
         if (reply.text.empty())
             reply.text = encode_reply(poll, run_id, age, now);
-        poll.exchange->respond(response_to(poll, reply));
+        http_response response = response_to(poll, reply);
+        if (poll.quota_sender && on_quota_needed_)
+            append_quota(response, on_quota_needed_(*poll.quota_sender));
+        poll.exchange->respond(std::move(response));
     }
 }
 
@@ -253,6 +258,11 @@
 {
     if (!client_ || client_->calls() > 0)
         return;
+    load_counts counts = take_load_counts_();
+    // The coordinator knows the shares that it has set.
+    if (counts.quota.run == coordinator_->term)
+        counts.quota.shares.clear();
+    poll_sent_ = clock_();
     http_request request;
     request.method = "POST";
     request.target = feed_path;
@@ -263,7 +273,7 @@
         {"standby", standby_rank_.has_value()}, {"run", run_id_},
         {"after", last_change_},
         {"complete", encode_complete(view_.objects().complete())},
-        {"counts", encode_counts(take_load_counts_())}}
+        {"counts", encode_counts(counts)}}
                        .dump();
     const fleet_timing timing =
         standby_rank_ ? fleet_timing::standby() : timing_;
@@ -286,7 +296,10 @@
     }
     milliseconds age{0};
     try {
+        const auto quota = take_quota(*result.response);
         age = apply(reply_text(*result.response), clock_());
+        if (quota && on_quota_)
+            on_quota_(*quota, poll_sent_);
     } catch (const std::exception& failure) {
         log_event(log_level::warn, "malformed reply from the coordinator",
             {{log_key::error, shorten(failure.what())}});
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -15,6 +15,7 @@
 
 #include <filberthub/net/http_client.hpp>
 #include <filberthub/net/http_listener.hpp>
+#include <filberthub/routing/account_quota.hpp>
 #include <filberthub/routing/coordinator_lease.hpp>
 
 #include <QtCore/QTimer>
@@ -38,6 +39,8 @@
     // Servers whose answers said that they are leaving, with the start of the
     // incarnation that said so. Their keys have to move.
     std::map<backend_server_id, std::uint64_t> leaving;
+    // Its sequence is 0 if no account has a limit.
+    quota_report quota;
 };
 
 // The age of the coordinator's view.
@@ -61,6 +64,13 @@
     feed_server(deployment_view& view,
         std::function<void(const instance_id&, const load_counts&)> on_report);
 
+    // Sets the function that returns the shares for the reply to a poll.
+    void on_quota_needed(
+        std::function<std::optional<quota_reply>(const instance_id&)> callback)
+    {
+        on_quota_needed_ = std::move(callback);
+    }
+
     // Records the report in a poll, and keeps the poll for `flush` and
     // `answer_due`. `run_id` identifies this process. A malformed poll is
     // answered with status 400.
@@ -101,6 +111,8 @@
         // Set if `after_change` is 0.
         complete_versions complete;
         time_point answer_by;
+        // Set if the poll reports on quotas.
+        std::optional<instance_id> quota_sender;
     };
 
     // A reply for all polls that lack the same changes.
@@ -122,6 +134,8 @@
 
     deployment_view& view_;
     std::function<void(const instance_id&, const load_counts&)> on_report_;
+    std::function<std::optional<quota_reply>(const instance_id&)>
+        on_quota_needed_;
     std::vector<open_poll> polls_;
     struct polling_member
     {
@@ -191,6 +205,12 @@
     {
         on_answered_ = std::move(callback);
     }
+    // Sets the function that is called with the shares in a reply and the time
+    // at which its poll was sent.
+    void on_quota(std::function<void(const quota_reply&, time_point)> callback)
+    {
+        on_quota_ = std::move(callback);
+    }
     // Sets the function that is called with the body of the answer when the
     // polled process refuses, because it is no longer the coordinator.
     void on_refused(std::function<void(const std::string&)> callback)
@@ -212,6 +232,9 @@
     std::function<time_point()> clock_;
     std::function<void(milliseconds)> on_answered_;
     std::function<void(const std::string&)> on_refused_;
+    std::function<void(const quota_reply&, time_point)> on_quota_;
+    // When the last poll was sent.
+    time_point poll_sent_;
     std::unique_ptr<http_client> client_;
     std::optional<lease_record> coordinator_;
     QTimer poll_timer_;
--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -188,6 +188,8 @@
     lease_.on_predecessor_stopped(now, leases_before_it_end);
     if (controller_)
         controller_->on_predecessor_stopped(lease_.earlier_leases_end());
+    if (quotas_)
+        quotas_->shorten_earlier_leases(lease_.earlier_leases_end());
 }
 
 void fleet_role::on_stop_request(http_exchange& exchange)
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -91,11 +91,13 @@
           [this](const watch_update& update) { on_watch_update(update); },
           clock_),
       server_(view,
-          [this](const instance_id&, const load_counts& counts) {
+          [this](const instance_id& sender, const load_counts& counts) {
               for (const auto& [server, started] : counts.leaving)
                   view_.servers().set_leaving(server, started, clock_());
               if (controller_)
                   controller_->on_report(counts);
+              if (quotas_ && counts.quota.sequence > 0)
+                  quotas_->on_report(sender, counts.quota, clock_());
           }),
       client_({settings.instance, settings.peers, settings.processor_share},
           view, take_load_counts_, clock_),
@@ -119,6 +121,8 @@
             on_lease_news(*news);
         tick_soon();
     });
+    server_.on_quota_needed(
+        [this](const instance_id& instance) { return quota_for(instance); });
     store_.watch_lease(true);
 }
 
@@ -235,6 +239,7 @@
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         controller_ = std::make_unique<ownership_controller>(settings_, view_,
             store_, term, lease_.earlier_leases_end(), clock_);
+        quotas_.emplace(term, lease_.earlier_leases_end());
         // Until all instances poll this one, the members of the coordinator
         // before remain, so that gates do not move for nothing.
         server_.assume_members(view_.members(), settings_.instance, now);
@@ -244,11 +249,14 @@
     stop_predecessor(now);
     if (now >= next_report_) {
         next_report_ = now + local_report_interval;
-        controller_->on_report(take_load_counts_());
+        const load_counts counts = take_load_counts_();
+        controller_->on_report(counts);
+        report_local_quota(counts.quota, now);
         view_.set_fleet_size(server_.fleet_size(now), now);
         publish_members(now);
     }
     controller_->advance(now);
+    allocate_quotas(now);
     if (now >= next_progress_report_) {
         next_progress_report_ = now + progress_report_interval;
         report_grant_progress(now);
@@ -278,6 +286,7 @@
         log_event(log_level::info, "stopped coordinating the fleet", {});
     granting_paused_ = false;
     controller_.reset();
+    quotas_.reset();
     server_.refuse_all(refusal_text());
 }
 
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -14,6 +14,8 @@
 #include "router/ownership_controller.hpp"
 #include "router/store_session.hpp"
 
+#include <filberthub/routing/quota_allocator.hpp>
+
 namespace filberthub {
 
 // Runs the ownership controller only while this process holds a valid
@@ -38,6 +40,10 @@
     // the process starts to shut down.
     void leave();
 
+    // Sets the function that applies shares of quotas, with the time at which
+    // they were asked for.
+    void on_quota(std::function<void(const quota_reply&, time_point)> callback);
+
     // Whether this process holds a valid coordinator lease.
     bool coordinates(time_point now) const
     {
@@ -58,6 +64,9 @@
     void apply_update(const watch_update& update, time_point now);
     void on_lease_objects(const watch_update& update);
     void coordinate(time_point now);
+    void allocate_quotas(time_point now);
+    void report_local_quota(const quota_report& report, time_point now);
+    std::optional<quota_reply> quota_for(const instance_id& instance);
     void pause_coordinating(time_point now);
     void stop_coordinating();
     void follow(time_point now);
@@ -111,6 +120,9 @@
     bool stop_request_open_ = false;
     time_point next_stop_request_;
     std::unique_ptr<ownership_controller> controller_;
+    // Present together with `controller_`.
+    std::optional<quota_allocator> quotas_;
+    std::function<void(const quota_reply&, time_point)> on_quota_;
     // Whether `controller_` waits for a renewal of a lease that has ended.
     bool granting_paused_ = false;
     bool lease_read_open_ = false;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -71,6 +71,9 @@
             role.on_view_changed();
             callers.on_view_changed();
         });
+        role.on_quota([this](const quota_reply& reply, time_point sent) {
+            callers.apply_quota(reply, sent);
+        });
         QObject::connect(&ticker, &QTimer::timeout, [this] { tick(); });
     }
 
--- a/test/router/caller_accounts_test.cpp
+++ b/test/router/caller_accounts_test.cpp
@@ -226,5 +226,44 @@
     EXPECT_EQ(server_.requests.size(), 3U);
 }
 
+// Guards against a quota that is not enforced, and against a request that is
+// counted although it has not run.
+TEST_F(caller_accounts_test, EnforcesTheQuotaOfAnAccount)
+{
+    json limited = account("maps", json::array({"k-1"}));
+    limited["RatePerS"] = 1;
+    limited["Burst"] = 1;
+    put_config("00000001", json::array({limited}));
+    ASSERT_TRUE(start());
+    // Nothing is admitted until the first share.
+    ASSERT_TRUE(run_until([&] {
+        if (client_.calls() == 0 && status_of("first") != 200)
+            send("first", "/edit/1", "Bearer k-1");
+        if (!server_.requests.empty() && status_of("first") != 200)
+            server_.answer(0, "done");
+        return status_of("first") == 200;
+    }));
+    // (1 x 5 + 1) x 1.1 + 16 are 22 requests in a window.
+    std::size_t answered = 1;
+    for (int number = 1; number <= 30; ++number)
+        send(std::to_string(number), "/edit/1", "Bearer k-1");
+    ASSERT_TRUE(run_until([&] {
+        if (server_.requests.size() > answered)
+            server_.answer(answered++, "done");
+        return results_.size() == 31;
+    }));
+    std::size_t served = 0;
+    for (int number = 1; number <= 30; ++number) {
+        const std::string id = std::to_string(number);
+        served += status_of(id) == 200 ? 1 : 0;
+        if (status_of(id) != 200) {
+            EXPECT_EQ(status_of(id), 429);
+            EXPECT_TRUE(results_[id].response->headers.get("Retry-After"));
+        }
+    }
+    EXPECT_EQ(served, 21U);
+    EXPECT_EQ(server_.requests.size(), 22U);
+}
+
 } // namespace
 } // namespace filberthub
