Choose the group of a request by capacity and told waits

Cause: requests without a key went to the groups of a service in turn. Groups differ in size because servers are divided by a hash, so that the smaller group was overloaded while the other was idle. group_choice chooses at random in proportion to slots by typical speed, lowered by at most a factor of 3 for groups that told a longer wait. Cost: one pass over the servers of the service for each request, as in server_pool::choose.

Tests: GroupChoice.* is new with its unit. server_answers_test, router_test and GateService hold.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -192,6 +192,10 @@
         return times_;
     }
 
+    // Slots of the server by its typical speed: its throughput relative to a
+    // slot of slowdown 1.
+    double capacity(const observed_server& server) const;
+
     // Expected time until the server answers a new request, in milliseconds.
     double expected_ms(const observed_server& server, time_point now) const;
 
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -144,8 +144,7 @@
     slot.answer_deadline = request->state.answer_deadline;
     const std::weak_ptr<caller_request> weak_request = request;
     request->slot_number = gates_.request_slot(std::move(slot),
-        view_.servers().count_of(request->service),
-        [this, weak_request](const gate_reply& reply) {
+        view_.uniform_random(), [this, weak_request](const gate_reply& reply) {
             if (const request_ptr live_request = weak_request.lock())
                 on_gate_reply(live_request, reply);
         });
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -98,7 +98,7 @@
 }
 
 std::optional<std::uint64_t> gate_service::request_slot(
-    slot_request request, std::size_t servers_of_service, callback on_reply)
+    slot_request request, double uniform_random, callback on_reply)
 {
     const time_point now = clock_();
     if (request.owner) {
@@ -107,8 +107,11 @@
             return std::nullopt;
         request.group = group_of_server(server->entry, true, 1);
     } else {
-        const std::size_t groups = group_count(servers_of_service);
-        const std::size_t index = last_number_ % groups;
+        // A group without usable servers holds requests until one joins.
+        const std::size_t index = groups_
+                                      .choose(view_.servers(), request.service,
+                                          request.excluded, uniform_random, now)
+                                      .value_or(0);
         request.group = request.service.value() + "/" + std::to_string(index);
     }
     const live_instance* host = find_gate_host(request.group);
@@ -243,6 +246,7 @@
         return;
     if (decision == slot_decision::queued) {
         liveness_.on_queued(request.question, wait, now);
+        note_wait(request.request, wait, now);
         if (!request.told_wait)
             request.told_wait = wait;
         return;
@@ -257,10 +261,19 @@
     }
     // The entry is kept until `finish` reports the end.
     request.granted = true;
+    if (!told_wait)
+        note_wait(request.request, milliseconds(0), now);
     on_reply({gate_reply::kind::granted, backend_server_id(server), wait,
         told_wait});
 }
 
+void gate_service::note_wait(
+    const slot_request& request, milliseconds wait, time_point now)
+{
+    if (!request.owner)
+        groups_.on_wait(request.group, wait, now);
+}
+
 void gate_service::check_deadlines()
 {
     // A reply that has arrived counts, even if this process was suspended and
--- a/src/router/gate_service.hpp
+++ b/src/router/gate_service.hpp
@@ -3,7 +3,7 @@
 //
 //     gate_service gates(settings, view, clock);
 //     gates.start();
-//     auto number = gates.request_slot(request, servers, on_reply);
+//     auto number = gates.request_slot(request, random, on_reply);
 //     if (number)
 //         gates.finish(*number, result);
 
@@ -14,6 +14,7 @@
 
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/routing/gate_liveness.hpp>
+#include <filberthub/routing/group_choice.hpp>
 #include <filberthub/routing/slot_gate.hpp>
 
 #include <QtCore/QTimer>
@@ -67,10 +68,11 @@
 
     // Requests a slot and returns the number of the request, or nothing if the
     // gate is not reachable at present. `request.id` and `request.group` are
-    // set here. `on_reply` is called once, after this call has returned, unless
-    // the request is withdrawn first.
-    std::optional<std::uint64_t> request_slot(slot_request request,
-        std::size_t servers_of_service, callback on_reply);
+    // set here; `uniform_random` in [0, 1) decides among groups. `on_reply` is
+    // called once, after this call has returned, unless the request is
+    // withdrawn first.
+    std::optional<std::uint64_t> request_slot(
+        slot_request request, double uniform_random, callback on_reply);
 
     // Reports how a granted request ended, or withdraws a request that has no
     // reply yet.
@@ -104,6 +106,8 @@
         const json& message, const endpoint& sender, time_point now);
     void ask(std::uint64_t number, pending_request& request, time_point now);
     void ask_moved_gates(time_point now);
+    void note_wait(
+        const slot_request& request, milliseconds wait, time_point now);
     void give_up(std::uint64_t number, gate_reply::kind reason);
     void send_decisions(const std::vector<gate_decision>& decisions);
     void send(const json& message, const endpoint& target);
@@ -121,6 +125,7 @@
     std::unordered_map<std::string, const live_instance*> hosts_;
     std::uint64_t hosts_version_ = 0;
     gate_liveness liveness_;
+    group_choice groups_;
     // Version of the members when the hosts of pending requests were checked.
     std::uint64_t checked_version_ = 0;
     // Starts at the boot time, so that a restarted process does not use numbers
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -229,6 +229,12 @@
                slots + std::max(slots, min_queued_without_gate);
 }
 
+double server_pool::capacity(const observed_server& server) const
+{
+    return server.entry.slots /
+           times_.typical_slowdown(server.entry.id).value_or(1);
+}
+
 double server_pool::expected_ms(
     const observed_server& server, time_point now) const
 {
