Choose servers by two samples and the load of their slots

Cause: choose took the best of half the servers by expected time, which is the same below full slots, and reports decayed to zero load. All instances sent to the fast server or to the one that an old report showed as idle. The gate filled its fastest server before it used another. choose compares two servers sampled by capacity by their requests per slot and present interference; a report decays to the typical load of its server. The gate weighs the time of a free server by the load of its slots. Servers are not asked more often.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -90,6 +90,8 @@
     unsigned in_flight = 0;
     // Requests of other instances at the time of the last report.
     double requests_of_others = 0;
+    // The same, smoothed over many reports.
+    double typical_requests_of_others = 0;
     time_point reported_at;
     bool has_report = false;
     // Smoothed share of requests that were answered.
@@ -182,8 +184,8 @@
     bool accepts_without_gate(
         const observed_server& server, time_point now) const;
 
-    // Returns the server with the shortest expected time among a random sample,
-    // or nothing if no server may be used.
+    // Returns the server with the shorter expected time of two, sampled at
+    // random in proportion to capacity, or nothing if no server may be used.
     std::optional<backend_server_id> choose(const service_id& service,
         const placement_request& request, time_point now) const;
 
@@ -221,6 +223,9 @@
         const backend_server_id& id, std::uint64_t started, time_point now);
     void apply_announcement(observed_server& server);
     void record_usability(observed_server& server, time_point now) const;
+    const observed_server& choose_of_two(
+        const std::vector<const observed_server*>& candidates,
+        const placement_request& request, time_point now) const;
     double expected_requests(
         const observed_server& server, time_point now) const;
     observed_server* find_mutable(const backend_server_id& id);
--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -164,6 +164,8 @@
         const server_list& servers, time_point now) const;
     bool is_not_excluded(
         const slot_request& request, const observed_server& server) const;
+    // Granted requests for each slot of the server.
+    double load(const observed_server& server) const;
     // Whether there are servers but the request excludes all of them.
     bool excludes_all(
         const slot_request& request, const server_list& servers) const;
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -8,11 +8,16 @@
 namespace filberthub {
 namespace {
 
-// Time constant of the decay of reported requests of other instances, which
-// finish within a few service times.
+// Time constant of the return from the last report to the typical load of the
+// server. Requests finish within a few service times, and others take their
+// place: a decay to zero makes a busy server look idle to all instances.
 constexpr double report_decay_ms = 250;
+// Weight of the newest report in the typical load.
+constexpr double typical_load_smoothing = 0.1;
 // Weight of the newest outcome in the smoothed success rate.
 constexpr double success_smoothing = 0.15;
+// Lower bound of the success rate in estimates.
+constexpr double min_success = 0.05;
 // Doubles with each consecutive failure.
 constexpr milliseconds initial_avoidance{250};
 constexpr milliseconds max_avoidance{4'000};
@@ -211,8 +216,9 @@
     double requests_of_others = 0;
     if (server.has_report) {
         const double age = milliseconds_between(server.reported_at, now);
-        requests_of_others =
-            server.requests_of_others * std::exp(-age / report_decay_ms);
+        const double typical = server.typical_requests_of_others;
+        requests_of_others = typical + (server.requests_of_others - typical) *
+                                           std::exp(-age / report_decay_ms);
     }
     return requests_of_others + server.in_flight;
 }
@@ -243,7 +249,7 @@
     const double queue =
         std::max(expected_requests(server, now) + 1 - server.entry.slots, 0.0);
     const double expected = time * (1 + queue / server.entry.slots);
-    return expected / std::max(server.success, 0.05);
+    return expected / std::max(server.success, min_success);
 }
 
 std::optional<backend_server_id> server_pool::choose(const service_id& service,
@@ -262,30 +268,48 @@
         candidates = std::move(avoided);
     if (candidates.empty())
         return std::nullopt;
-    // Reports become outdated between requests. Choosing from a random sample
-    // of the servers keeps instances with the same reports from all choosing
-    // the same server.
-    const std::size_t sample_size =
-        std::max<std::size_t>(2, (candidates.size() + 1) / 2);
-    const observed_server* best = nullptr;
-    double best_ms = 0;
-    for (std::size_t sampled = 0;
-         sampled < sample_size && sampled < candidates.size(); ++sampled) {
-        const auto remaining = static_cast<double>(candidates.size() - sampled);
-        const auto index = sampled + static_cast<std::size_t>(
-                                         request.uniform_random() * remaining);
-        std::swap(candidates[sampled],
-            candidates[std::min(index, candidates.size() - 1)]);
-        const observed_server* server = candidates[sampled];
-        double time = expected_ms(*server, now);
-        if (server->entry.domain != own_domain_)
-            time += static_cast<double>(request.cross_domain_cost.count());
-        if (best == nullptr || time < best_ms) {
-            best = server;
-            best_ms = time;
-        }
-    }
-    return best->entry.id;
+    return choose_of_two(candidates, request, now).entry.id;
+}
+
+// Many instances choose at the same moment by reports that are some hundred
+// milliseconds old. Two servers at random, in proportion to capacity, bound how
+// many of them can choose the same one; comparing the two needs only roughly
+// right reports.
+const observed_server& server_pool::choose_of_two(
+    const std::vector<const observed_server*>& candidates,
+    const placement_request& request, time_point now) const
+{
+    std::vector<double> weights;
+    weights.reserve(candidates.size());
+    double total = 0;
+    for (const observed_server* server : candidates)
+        weights.push_back(total += capacity(*server));
+    const auto sample = [&] {
+        const auto found = std::upper_bound(
+            weights.begin(), weights.end(), request.uniform_random() * total);
+        const auto index = static_cast<std::size_t>(found - weights.begin());
+        return candidates[std::min(index, candidates.size() - 1)];
+    };
+    // Sampling by capacity accounts for the typical speed, so that the load of
+    // the slots and the present interference remain to be compared.
+    const double mean =
+        std::max(times_.mean_ms(candidates.front()->entry.service), 1.0);
+    const auto cost = [&](const observed_server& server) {
+        const double slowdown =
+            times_.expected_ms(server.entry.service, server.entry.id, now) /
+            (mean * times_.typical_slowdown(server.entry.id).value_or(1));
+        const double load = (expected_requests(server, now) + 1) /
+                            server.entry.slots * slowdown /
+                            std::max(server.success, min_success);
+        return server.entry.domain == own_domain_
+                   ? load
+                   : load + static_cast<double>(
+                                request.cross_domain_cost.count()) /
+                                mean;
+    };
+    const observed_server* first = sample();
+    const observed_server* second = sample();
+    return cost(*second) < cost(*first) ? *second : *first;
 }
 
 void server_pool::on_sent(const backend_server_id& id, time_point now)
@@ -313,6 +337,11 @@
     if (report) {
         const double total = report->running + report->waiting;
         server->requests_of_others = std::max(total - server->in_flight, 0.0);
+        server->typical_requests_of_others =
+            server->has_report
+                ? smooth(server->typical_requests_of_others,
+                      server->requests_of_others, typical_load_smoothing)
+                : server->requests_of_others;
         server->reported_at = now;
         server->has_report = true;
     }
--- a/src/routing/slot_gate_servers.cpp
+++ b/src/routing/slot_gate_servers.cpp
@@ -79,6 +79,14 @@
                server.entry.id) == request.excluded.end();
 }
 
+double slot_gate::load(const observed_server& server) const
+{
+    const auto found = servers_.find(server.entry.id);
+    if (found == servers_.end())
+        return 0;
+    return static_cast<double>(found->second.in_flight) / server.entry.slots;
+}
+
 bool slot_gate::excludes_all(
     const slot_request& request, const server_list& servers) const
 {
@@ -130,6 +138,7 @@
     }
     const observed_server* best = nullptr;
     double best_ms = 0;
+    double best_score = 0;
     // Expected time of the fastest server, whether it has a free slot or not.
     double min_expected_ms = 0;
     for (const observed_server* server : servers) {
@@ -146,9 +155,13 @@
             min_expected_ms = time;
         if (!free_now && !has_slot(*server, prefetch, now))
             continue;
-        if (best == nullptr || time < best_ms) {
+        // By time alone, the slower servers of a group are idle while the
+        // faster ones are full, and interference then hits more requests.
+        const double score = time * (1 + load(*server));
+        if (best == nullptr || score < best_score) {
             best = server;
             best_ms = time;
+            best_score = score;
         }
     }
     // A server that is currently slow is not used if a faster one will be free
--- a/test/routing/slot_gate_test.cpp
+++ b/test/routing/slot_gate_test.cpp
@@ -203,6 +203,30 @@
     EXPECT_EQ(decisions[0].server.value(), "s2");
 }
 
+// Guards against a group whose fastest server is full while another is idle.
+TEST_F(SlotGate, DividesRequestsAmongServersOfSimilarSpeed)
+{
+    const auto report_slowdown = [&](std::uint64_t number, double slowdown) {
+        gate_.finish({instance_id("i"), number},
+            {send_outcome::answered, milliseconds(60),
+                server_load_report{0, 0, 2, slowdown}},
+            at_ms(1));
+    };
+    request_slot(request(1, 0), 0);
+    report_slowdown(1, 1);
+    put(server_builder("s2").build());
+    slot_request other = request(2, 0);
+    other.excluded.push_back(backend_server_id("s1"));
+    request_slot(other, 0);
+    report_slowdown(2, 1.3);
+    std::vector<std::string> chosen;
+    for (std::uint64_t number = 3; number <= 6; ++number) {
+        const auto decisions = gate_.request_slot(request(number, 2), at_ms(2));
+        chosen.push_back(decisions.at(0).server.value());
+    }
+    EXPECT_THAT(chosen, testing::ElementsAre("s1", "s2", "s1", "s2"));
+}
+
 // Numbers of answers that callers of an overloaded server received.
 struct load_result
 {
