Weight keys by work and name keys beyond any server

Cause: the plan counted requests, although those of one route may take three times as long as those of another; and a key that no server can serve alone was moved about without a sign of it.

Instances report the work by key in the optional field "work": requests times the mean duration of their route at slowdown 1. Durations of single requests were ruled out, as they vary more than the number of requests. key_load counts a request by its work relative to the mean of its service, at most 20 times. Requests reported without work count 1, so that instances of the release before can share a fleet.

A key whose work exceeds the largest capacity is logged ("a key has more load than any server can take") and counted in filberthub_keys_beyond_capacity.

--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -44,6 +44,12 @@
 
     // Counts requests for a key. Keys out of range are ignored.
     void on_requests(key_number key, double count);
+    // The same with the total duration of their work.
+    void on_work(key_number key, double count, double work_ms);
+
+    // Keys that no server can serve alone. Moving them does not help.
+    std::vector<key_number> keys_beyond_capacity(
+        const std::vector<key_server>& servers) const;
 
     // Returns the next write, or nothing if the table does not have to change
     // or an earlier write is open. `servers` are those that may own keys. The
--- a/include/filberthub/routing/key_load.hpp
+++ b/include/filberthub/routing/key_load.hpp
@@ -22,6 +22,9 @@
 public:
     void start(time_point now);
     void add(key_number key, double requests);
+    // Adds requests with the total duration of their work. They count by their
+    // work relative to the mean of all requests.
+    void add_work(key_number key, double requests, double work_ms);
     // Computes the expected load. To be called several times per second.
     void update(time_point now);
 
@@ -37,6 +40,10 @@
     bool is_in_surge(
         const key_table& table, const std::vector<key_server>& servers) const;
 
+    // Keys with more work than a server of this capacity can do, if the work is
+    // known. Capacity is the number of requests that run at once at slowdown 1.
+    std::vector<key_number> keys_beyond(double capacity) const;
+
     // Time constant of the mean load.
     static constexpr double mean_time_ms = 7'200;
 
@@ -48,6 +55,9 @@
     key_weights mean_;
     key_weights latest_;
     key_weights expected_;
+    // Requests and work of the last seconds that were reported with their work.
+    double work_requests_ = 0;
+    double work_ms_ = 0;
     std::vector<bool> hot_;
     std::optional<time_point> hot_since_;
     time_point updated_at_;
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -151,6 +151,10 @@
     else if (response.status < 300 && !response.headers.get(header::signature))
         outcome = send_outcome::lost;
     view_.servers().on_finished(server, outcome, taken, report, now);
+    if (request->key && outcome == send_outcome::answered) {
+        route_times_.on_answer(route_times_id(*request), server, taken,
+            report && report->waiting > 0, report, now);
+    }
     record_announcements(*request, response, now);
     report_to_gate(*request, outcome, taken, report);
     // Status 421 says that the server does not own the key, not that it fails.
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -122,8 +122,14 @@
     }
     budget_of(request->service)
         .on_request(request->arrived, view_.fleet_size());
-    if (request->key)
+    if (request->key) {
         ++counts_.requests[request->service][*request->key];
+        // The mean of the route, as the durations of single requests vary more
+        // than their number.
+        counts_.work_ms[request->service][*request->key] +=
+            static_cast<std::uint32_t>(
+                std::max(route_times_.mean_ms(route_times_id(*request)), 1.0));
+    }
     const std::weak_ptr<caller_request> weak_request = request;
     request->exchange->on_cancelled([this, weak_request] {
         if (const request_ptr live_request = weak_request.lock())
@@ -132,6 +138,12 @@
     start_attempt(request);
 }
 
+// The requests of a route to a service have a mean duration of their own.
+service_id caller_service::route_times_id(const caller_request& request)
+{
+    return service_id(request.service.value() + "/" + request.route->name);
+}
+
 http_request caller_service::make_forwarded_request(
     const caller_request& request, time_point now) const
 {
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -109,6 +109,7 @@
     bool is_sent(const caller_request& request) const;
     void cancel_attempt(caller_request& request, time_point now);
     window_budget& budget_of(const service_id& service);
+    static service_id route_times_id(const caller_request& request);
     http_request make_forwarded_request(
         const caller_request& request, time_point now) const;
 
@@ -122,6 +123,8 @@
     // Retry budgets.
     std::map<service_id, window_budget> budgets_;
     load_counts counts_;
+    // Durations of the work by service and route.
+    service_time_tracker route_times_;
     QTimer retry_timer_;
     // Set once the process was told to stop.
     std::optional<shutdown_plan> shutdown_;
--- a/src/router/fleet_progress.cpp
+++ b/src/router/fleet_progress.cpp
@@ -24,6 +24,12 @@
                     {{"service", id.value()}, {"stage", stage}})
                 .set(static_cast<double>(count));
         }
+        metrics_
+            .add_gauge("filberthub_keys_beyond_capacity",
+                "Keys whose load exceeds the capacity of any server; of the "
+                "coordinator only.",
+                {{"service", id.value()}})
+            .set(static_cast<double>(progress.heavy_keys));
         if (keys.complete())
             continue;
         log_event(log_level::info, "keys without an owner",
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -197,7 +197,9 @@
         read_back(id);
         return;
     }
-    const auto next = service.keys.plan(key_servers(id, service, now), now);
+    const std::vector<key_server> servers = key_servers(id, service, now);
+    const auto next = service.keys.plan(servers, now);
+    report_heavy_keys(id, service, servers, now);
     if (next)
         write(id, *next);
 }
@@ -354,6 +356,7 @@
         state.table_age = std::chrono::duration_cast<milliseconds>(
             now - service.committed_at);
         state.write_open = service.keys.write_open();
+        state.heavy_keys = service.heavy_keys.size();
         result.emplace(id, state);
     }
     return result;
@@ -373,8 +376,13 @@
         const auto found = services_.find(service);
         if (found == services_.end())
             continue;
-        for (const auto& [key, count] : keys)
-            found->second.keys.on_requests(key, count);
+        const auto work = counts.work_ms.find(service);
+        for (const auto& [key, count] : keys) {
+            if (work != counts.work_ms.end() && work->second.contains(key))
+                found->second.keys.on_work(key, count, work->second.at(key));
+            else
+                found->second.keys.on_requests(key, count);
+        }
     }
     for (const auto& [server, results] : counts.results)
         health_.add(server, results, clock_());
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -52,6 +52,8 @@
         milliseconds table_age{0};
         // Whether a table write has no known outcome yet.
         bool write_open = false;
+        // Number of keys that no server can serve alone.
+        std::size_t heavy_keys = 0;
     };
     std::map<service_id, progress> grant_progress(time_point now) const;
 
@@ -71,11 +73,17 @@
         std::optional<std::uint64_t> published_version;
         // Whether the outcome of the last table write is unknown.
         bool needs_read_back = false;
+        // Keys that no server can serve alone.
+        std::vector<key_number> heavy_keys;
+        time_point next_heavy_key_check;
     };
 
     void read_tables();
     void start_services(time_point now);
     void plan(const service_id& id, service_ownership& service, time_point now);
+    // Logs keys that no server can serve alone.
+    void report_heavy_keys(const service_id& id, service_ownership& service,
+        const std::vector<key_server>& servers, time_point now);
     std::vector<key_server> key_servers(
         const service_id& id, service_ownership& service, time_point now);
     void write(const service_id& id, const table_write& table);
--- a/src/router/ownership_tables.cpp
+++ b/src/router/ownership_tables.cpp
@@ -12,6 +12,7 @@
 using platform_api::store_outcome;
 
 constexpr milliseconds table_read_retry{400};
+constexpr milliseconds heavy_key_check_interval{1'000};
 // Position of the term in the version of an object with served key ranges.
 constexpr unsigned term_shift = 32;
 
@@ -167,4 +168,20 @@
         now);
 }
 
+void ownership_controller::report_heavy_keys(const service_id& id,
+    service_ownership& service, const std::vector<key_server>& servers,
+    time_point now)
+{
+    if (now < service.next_heavy_key_check)
+        return;
+    service.next_heavy_key_check = now + heavy_key_check_interval;
+    const std::size_t before = service.heavy_keys.size();
+    service.heavy_keys = service.keys.keys_beyond_capacity(servers);
+    if (service.heavy_keys.size() <= before)
+        return;
+    log_event(log_level::warn, "a key has more load than any server can take",
+        {{log_key::service, id.value()}, {"key", service.heavy_keys.front()},
+            {"keys", service.heavy_keys.size()}});
+}
+
 } // namespace filberthub
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -58,6 +58,22 @@
         load_.add(key, count);
 }
 
+void key_coordinator::on_work(key_number key, double count, double work_ms)
+{
+    if (key < key_count)
+        load_.add_work(key, count, work_ms);
+}
+
+std::vector<key_number> key_coordinator::keys_beyond_capacity(
+    const std::vector<key_server>& servers) const
+{
+    double capacity = 0;
+    for (const key_server& server : servers)
+        capacity = std::max(capacity, server.capacity);
+    return capacity > 0 ? load_.keys_beyond(capacity)
+                        : std::vector<key_number>{};
+}
+
 key_table key_coordinator::refreshed_table(bool& changed) const
 {
     key_table next = table_;
--- a/src/routing/key_load.cpp
+++ b/src/routing/key_load.cpp
@@ -30,6 +30,9 @@
 // Number of requests by which the count of a key is drawn toward the mean of
 // its window: single counts of one or two requests do not tell keys apart.
 constexpr double window_mean_weight = 4;
+// Bound of the work of a request, relative to the mean, so that one report
+// cannot outweigh all others.
+constexpr double max_relative_work = 20;
 // Load relative to the share of a server that makes the plan urgent.
 constexpr double min_surge_ratio = 2;
 
@@ -46,6 +49,28 @@
     latest_.add(key, requests);
 }
 
+void key_load::add_work(key_number key, double requests, double work_ms)
+{
+    work_requests_ += requests;
+    work_ms_ += work_ms;
+    const double mean_ms = work_ms_ / std::max(work_requests_, 1.0);
+    const double relative = mean_ms > 0 ? work_ms / mean_ms : requests;
+    add(key, std::min(relative, requests * max_relative_work));
+}
+
+std::vector<key_number> key_load::keys_beyond(double capacity) const
+{
+    std::vector<key_number> result;
+    if (work_requests_ < 1)
+        return result;
+    const double limit = capacity * mean_time_ms * work_requests_ / work_ms_;
+    for (key_number key = 0; key < key_count; ++key) {
+        if (expected_.of(key) > limit)
+            result.push_back(key);
+    }
+    return result;
+}
+
 void key_load::update(time_point now)
 {
     const double age_ms =
@@ -53,6 +78,8 @@
     updated_at_ = now;
     mean_.decay(std::exp(-age_ms / mean_time_ms));
     latest_.decay(std::exp(-age_ms / latest_time_ms));
+    work_requests_ *= std::exp(-age_ms / mean_time_ms);
+    work_ms_ *= std::exp(-age_ms / mean_time_ms);
     const double hot_ms =
         static_cast<double>(hot_for(now).value_or(milliseconds(0)).count());
     const double grown =
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -159,6 +159,26 @@
     EXPECT_EQ(complete.at("server"), object_version(1));
 }
 
+// An instance of the release before sends neither results nor work.
+TEST(FeedMessages, CarriesResultsAndWorkAsOptionalFields)
+{
+    load_counts counts;
+    counts.requests[service_id("maps")][7] = 3;
+    counts.work_ms[service_id("maps")][7] = 600;
+    counts.results[backend_server_id("i-1")] = {10, 5};
+    const json document = encode_counts(counts);
+    const load_counts decoded = decode_counts(document);
+    EXPECT_EQ(decoded.work_ms, counts.work_ms);
+    EXPECT_EQ(decoded.results.at(backend_server_id("i-1")).failures, 5U);
+    json earlier = document;
+    earlier.erase("work");
+    earlier.erase("results");
+    EXPECT_EQ(decode_counts(earlier).requests, counts.requests);
+    EXPECT_TRUE(decode_counts(earlier).work_ms.empty());
+    // An instance of the release before ignores them.
+    EXPECT_TRUE(document.contains("requests") && document.contains("paces"));
+}
+
 // Guards against a faulty coordinator whose compressed reply ends the processes
 // that follow it or takes their memory.
 TEST(FeedMessages, RefusesMalformedCompressedReplies)
--- a/test/routing/key_coordinator_test.cpp
+++ b/test/routing/key_coordinator_test.cpp
@@ -79,5 +79,41 @@
     EXPECT_FALSE(keys_.write_open());
 }
 
+// Guards against a server that gets half of the keys by number, whose requests
+// take three times as long as the others.
+TEST_F(KeyCoordinator, BalancesWorkInsteadOfRequests)
+{
+    add_server("b");
+    for (std::int64_t ms = 2'100; ms < 30'000; ms += 100) {
+        for (key_number key = 0; key < key_count; key += 512)
+            keys_.on_work(key, 1, key < key_count / 2 ? 300 : 100);
+        if (keys_.plan(servers_, at_ms(ms)))
+            keys_.on_written(static_cast<std::uint64_t>(ms), at_ms(ms));
+        for (const grant_command& command : keys_.granter().due(at_ms(ms)))
+            keys_.granter().on_reply(
+                command.number, grant_reply::accepted, "", at_ms(ms));
+    }
+    double heavier = 0;
+    for (const key_range& range : keys_.table().ranges) {
+        if (range.owner.id != backend_server_id("a"))
+            continue;
+        for (key_number key = range.first; key <= range.last; ++key)
+            heavier += key < key_count / 2 ? 0.75 : 0.25;
+    }
+    EXPECT_NEAR(heavier / key_count * 2, 0.5, 0.08);
+}
+
+// Guards against moves of a key that no server can serve, without a sign of it.
+TEST_F(KeyCoordinator, NamesKeysThatNoServerCanServe)
+{
+    for (std::int64_t ms = 2'100; ms < 5'000; ms += 100) {
+        keys_.on_work(7, 4, 800);
+        keys_.on_work(8, 0.5, 100);
+        keys_.plan(servers_, at_ms(ms));
+    }
+    // Eight requests of 200 ms at once, on servers with two slots.
+    EXPECT_EQ(keys_.keys_beyond_capacity(servers_), std::vector<key_number>{7});
+}
+
 } // namespace
 } // namespace filberthub
