Look for hot keys at a small part of the cost

Cause: each plan, ten times a second now, decayed and copied the counts of all keys and added up four arrays of them, which counts on instances with a small share of a processor.

key_weights scales its counts lazily, key_load looks for hot keys only if two neighboring blocks of 33 keys have more than eight requests, and plans that need not wait for less are made every 250 ms as before.

--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -113,6 +113,7 @@
     time_point earlier_grants_end_;
     time_point started_at_;
     time_point last_write_at_;
+    time_point last_plan_at_;
     time_point last_balance_at_;
     std::optional<key_table> pending_;
     // Tables of writes without an answer that the store may still carry out.
--- a/include/filberthub/routing/key_load.hpp
+++ b/include/filberthub/routing/key_load.hpp
@@ -31,7 +31,7 @@
     // Load of each key in requests per `mean_time_ms`.
     const key_weights& expected() const
     {
-        return expected_;
+        return hot_since_ ? expected_ : mean_;
     }
     // How long some keys have been hot; nothing if none are.
     std::optional<milliseconds> hot_for(time_point now) const;
@@ -48,12 +48,16 @@
     static constexpr double mean_time_ms = 7'200;
 
 private:
+    // Whether any keys can be hot. Takes a small part of the time that it takes
+    // to find them.
+    bool may_have_hot_keys() const;
     // Raises the expected load of hot keys above their mean load. Returns
     // whether there are any.
     bool add_hot_keys(double onset_factor);
 
     key_weights mean_;
     key_weights latest_;
+    // Set while there are hot keys.
     key_weights expected_;
     // Requests and work of the last seconds that were reported with their work.
     double work_requests_ = 0;
--- a/include/filberthub/routing/key_planner.hpp
+++ b/include/filberthub/routing/key_planner.hpp
@@ -22,13 +22,14 @@
     key_weights();
 
     void add(key_number key, double requests);
-    // Multiplies all counts by `factor`.
+    // Multiplies all counts by `factor`. Mostly takes constant time, as it is
+    // called several times per second.
     void decay(double factor);
 
     // Weighted number of requests for a key.
     double of(key_number key) const
     {
-        return weights_[key];
+        return weights_[key] * scale_;
     }
     double total() const
     {
@@ -36,7 +37,9 @@
     }
 
 private:
+    // Counts relative to `scale_`.
     std::vector<float> weights_;
+    double scale_ = 1;
     double total_ = 0;
 };
 
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -11,8 +11,8 @@
 namespace filberthub {
 namespace {
 
-// A plan that finds no hot keys costs about 1 ms of a processor. A longer
-// interval delays the detection of hot keys by half of it.
+// A longer interval delays the detection of hot keys. The coordinators of the
+// services plan anew less often while there are none.
 constexpr milliseconds plan_interval{100};
 constexpr milliseconds grant_timeout{400};
 // A server answers a release after the running requests for the keys have
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -20,6 +20,8 @@
 // A hot range is divided by the counts of its keys, which are too small to tell
 // at first. With this delay, the plan is made 0.5 s after the onset.
 constexpr milliseconds surge_delay{250};
+// Interval of plans while no keys are hot. Each reads all keys several times.
+constexpr milliseconds usual_plan_interval{250};
 // Limits the rate of writes while keys are hot.
 constexpr milliseconds min_surge_write_interval{350};
 // Receivers of hot keys are filled up to this load, so that most of them get
@@ -105,6 +107,9 @@
     if (now - last_write_at_ <
         (in_surge ? min_surge_write_interval : min_write_interval))
         return std::nullopt;
+    if (!in_surge && now - last_plan_at_ < usual_plan_interval)
+        return std::nullopt;
+    last_plan_at_ = now;
     key_plan_options options = plan_options_;
     options.may_balance =
         in_surge || (!is_onset && now - last_balance_at_ >= balance_interval);
--- a/src/routing/key_load.cpp
+++ b/src/routing/key_load.cpp
@@ -65,7 +65,7 @@
         return result;
     const double limit = capacity * mean_time_ms * work_requests_ / work_ms_;
     for (key_number key = 0; key < key_count; ++key) {
-        if (expected_.of(key) > limit)
+        if (expected().of(key) > limit)
             result.push_back(key);
     }
     return result;
@@ -84,6 +84,10 @@
         static_cast<double>(hot_for(now).value_or(milliseconds(0)).count());
     const double grown =
         1 - std::exp(-(hot_ms + report_lead_ms) / latest_time_ms);
+    if (!may_have_hot_keys()) {
+        hot_since_.reset();
+        return;
+    }
     expected_ = mean_;
     if (!add_hot_keys(std::min(1 / grown, max_onset_factor)))
         hot_since_.reset();
@@ -98,6 +102,22 @@
     return std::chrono::duration_cast<milliseconds>(now - *hot_since_);
 }
 
+bool key_load::may_have_hot_keys() const
+{
+    // Two neighboring blocks contain each window that begins in the first.
+    double previous = 0;
+    for (key_number first = 0; first < key_count; first += window_keys) {
+        double block = 0;
+        const key_number end = std::min(first + window_keys, key_count);
+        for (key_number key = first; key < end; ++key)
+            block += latest_.of(key);
+        if (previous + block > min_hot_excess)
+            return true;
+        previous = block;
+    }
+    return false;
+}
+
 bool key_load::add_hot_keys(double onset_factor)
 {
     constexpr double scale = mean_time_ms / latest_time_ms;
