--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -110,6 +110,7 @@
     void on_withdrawn(const request_ptr& request, time_point now);
     void on_result(const request_ptr& request, const backend_server_id& server,
         http_result result);
+    void count_result(const backend_server_id& server, bool failed);
     void log_send_to_leaving_server(
         const caller_request& request, const backend_server_id& server);
     void on_answer(const request_ptr& request, const backend_server_id& server,
@@ -125,6 +126,7 @@
     bool is_sent(const caller_request& request) const;
     void cancel_attempt(caller_request& request, time_point now);
     window_budget& budget_of(const service_id& service);
+    static service_id route_times_id(const caller_request& request);
     http_request make_forwarded_request(
         const caller_request& request, time_point now) const;
 
@@ -142,9 +144,10 @@
     // The configuration that all unsent requests were checked against.
     std::shared_ptr<const route_table> confirmed_routes_;
     account_quota quota_;
-    metric_registry& metrics_;
     // By account and whether the requests were admitted.
     std::map<std::pair<std::string, bool>, counter*> account_counters_;
+    // Durations of the work by service and route.
+    service_time_tracker route_times_;
     QTimer retry_timer_;
     // Set once the process was told to stop.
     std::optional<shutdown_plan> shutdown_;
--- a/src/router/fleet_feed.hpp
+++ b/src/router/fleet_feed.hpp
@@ -17,6 +17,7 @@
 #include <filberthub/net/http_listener.hpp>
 #include <filberthub/routing/account_quota.hpp>
 #include <filberthub/routing/coordinator_lease.hpp>
+#include <filberthub/routing/server_health.hpp>
 
 #include <QtCore/QTimer>
 
@@ -41,6 +42,11 @@
     std::map<backend_server_id, std::uint64_t> leaving;
     // Its sequence is 0 if no account has a limit.
     quota_report quota;
+    // Results of requests by server since the last report.
+    std::map<backend_server_id, result_counts> results;
+    // Work of the requests per key in milliseconds at slowdown 1, by the mean
+    // of their routes. Keys without it count by their requests.
+    std::map<service_id, std::map<key_number, std::uint32_t>> work_ms;
 };
 
 // The age of the coordinator's view.
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -11,8 +11,8 @@
 namespace filberthub {
 namespace {
 
-// A plan that finds no hot keys costs about 1 ms of a processor. A longer
-// interval delays the detection of hot keys by half of it.
+// A longer interval delays the detection of hot keys. The coordinators of the
+// services plan anew less often while there are none.
 constexpr milliseconds plan_interval{100};
 constexpr milliseconds grant_timeout{400};
 // A server answers a release after the running requests for the keys have
@@ -164,7 +164,7 @@
 }
 
 std::vector<key_server> ownership_controller::key_servers(
-    const service_id& id, service_ownership& service, time_point now) const
+    const service_id& id, service_ownership& service, time_point now)
 {
     const server_pool& pool = view_.servers();
     std::vector<key_server> result;
@@ -185,6 +185,7 @@
         if (slowdown != slowdowns_.end())
             candidate.capacity /=
                 std::clamp(slowdown->second, min_slowdown, max_slowdown);
+        candidate.capacity *= health_.capacity_factor(server->entry.id, now);
         result.push_back(candidate);
     }
     return result;
@@ -197,7 +198,9 @@
         read_back(id);
         return;
     }
-    const auto next = service.keys.plan(key_servers(id, service, now), now);
+    const std::vector<key_server> servers = key_servers(id, service, now);
+    const auto next = service.keys.plan(servers, now);
+    report_heavy_keys(id, service, servers, now);
     if (next)
         write(id, *next);
 }
@@ -354,6 +357,7 @@
         state.table_age = std::chrono::duration_cast<milliseconds>(
             now - service.committed_at);
         state.write_open = service.keys.write_open();
+        state.heavy_keys = service.heavy_keys.size();
         result.emplace(id, state);
     }
     return result;
@@ -373,9 +377,16 @@
         const auto found = services_.find(service);
         if (found == services_.end())
             continue;
-        for (const auto& [key, count] : keys)
-            found->second.keys.on_requests(key, count);
+        const auto work = counts.work_ms.find(service);
+        for (const auto& [key, count] : keys) {
+            if (work != counts.work_ms.end() && work->second.contains(key))
+                found->second.keys.on_work(key, count, work->second.at(key));
+            else
+                found->second.keys.on_requests(key, count);
+        }
     }
+    for (const auto& [server, results] : counts.results)
+        health_.add(server, results, clock_());
     for (const auto& [server, slowdown] : counts.slowdowns) {
         const auto [found, is_new] = slowdowns_.try_emplace(server, slowdown);
         if (!is_new)
--- a/src/routing/key_load.cpp
+++ b/src/routing/key_load.cpp
@@ -30,6 +30,9 @@
 // Number of requests by which the count of a key is drawn toward the mean of
 // its window: single counts of one or two requests do not tell keys apart.
 constexpr double window_mean_weight = 4;
+// Bound of the work of a request, relative to the mean, so that one report
+// cannot outweigh all others.
+constexpr double max_relative_work = 20;
 // Load relative to the share of a server that makes the plan urgent.
 constexpr double min_surge_ratio = 2;
 
@@ -46,6 +49,28 @@
     latest_.add(key, requests);
 }
 
+void key_load::add_work(key_number key, double requests, double work_ms)
+{
+    work_requests_ += requests;
+    work_ms_ += work_ms;
+    const double mean_ms = work_ms_ / std::max(work_requests_, 1.0);
+    const double relative = mean_ms > 0 ? work_ms / mean_ms : requests;
+    add(key, std::min(relative, requests * max_relative_work));
+}
+
+std::vector<key_number> key_load::keys_beyond(double capacity) const
+{
+    std::vector<key_number> result;
+    if (work_requests_ < 1)
+        return result;
+    const double limit = capacity * mean_time_ms * work_requests_ / work_ms_;
+    for (key_number key = 0; key < key_count; ++key) {
+        if (expected().of(key) > limit)
+            result.push_back(key);
+    }
+    return result;
+}
+
 void key_load::update(time_point now)
 {
     const double age_ms =
@@ -53,10 +78,16 @@
     updated_at_ = now;
     mean_.decay(std::exp(-age_ms / mean_time_ms));
     latest_.decay(std::exp(-age_ms / latest_time_ms));
+    work_requests_ *= std::exp(-age_ms / mean_time_ms);
+    work_ms_ *= std::exp(-age_ms / mean_time_ms);
     const double hot_ms =
         static_cast<double>(hot_for(now).value_or(milliseconds(0)).count());
     const double grown =
         1 - std::exp(-(hot_ms + report_lead_ms) / latest_time_ms);
+    if (!may_have_hot_keys()) {
+        hot_since_.reset();
+        return;
+    }
     expected_ = mean_;
     if (!add_hot_keys(std::min(1 / grown, max_onset_factor)))
         hot_since_.reset();
@@ -71,6 +102,22 @@
     return std::chrono::duration_cast<milliseconds>(now - *hot_since_);
 }
 
+bool key_load::may_have_hot_keys() const
+{
+    // Two neighboring blocks contain each window that begins in the first.
+    double previous = 0;
+    for (key_number first = 0; first < key_count; first += window_keys) {
+        double block = 0;
+        const key_number end = std::min(first + window_keys, key_count);
+        for (key_number key = first; key < end; ++key)
+            block += latest_.of(key);
+        if (previous + block > min_hot_excess)
+            return true;
+        previous = block;
+    }
+    return false;
+}
+
 bool key_load::add_hot_keys(double onset_factor)
 {
     constexpr double scale = mean_time_ms / latest_time_ms;
