Keep one owner of each key when the store is restored

A copy of the store may name a coordinator that was replaced in the lost seconds, and owners whose keys have moved since; tokens and terms would be issued twice.

The term of the lease and the fencing tokens carry the epoch. The holder of the lease claims it in the new epoch and keeps its table and grants. Any other process is no holder from then on, whatever the copy says. A new coordinator that starts from a table of an earlier epoch waits for all grants that it may not know. In epoch 0 nothing changes.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -9,7 +9,7 @@
 #ifndef FILBERTHUB_ROUTING_COORDINATOR_LEASE_HPP
 #define FILBERTHUB_ROUTING_COORDINATOR_LEASE_HPP
 
-#include <filberthub/base/types.hpp>
+#include <filberthub/routing/store_epoch.hpp>
 
 #include <optional>
 #include <string>
@@ -59,6 +59,9 @@
     // Added to `takeover`; differs per process, so that not all processes try
     // to take over at once.
     milliseconds takeover_jitter{0};
+    // Longest time for which a grant may be valid after it was sent:
+    // `key_granter_options::max_grant_duration`.
+    milliseconds max_grant{3'210};
 };
 
 // A conditional write of the lease object.
@@ -117,6 +120,33 @@
     // not the holder.
     std::optional<lease_write> leave();
 
+    // To be called when the store was restored from an older copy. A process
+    // that holds the lease now claims it in the new epoch and keeps what it has
+    // granted. Any other one is no holder from now on, whatever the copy says.
+    void on_epoch(store_epoch epoch, time_point now);
+    // Time until which another coordinator, whose lease was lost in a restore,
+    // may have granted keys that this one does not know. Until then no tokens
+    // may be issued. Only meaningful while this process is the holder.
+    time_point unseen_grants_end() const
+    {
+        return unseen_grants_end_;
+    }
+    // Whether this process took the lease from a copy of the store, so that
+    // earlier coordinators may exist of which it does not know.
+    bool others_unseen() const
+    {
+        return others_unseen_;
+    }
+    // Until when this process may send grants. Earlier than `end` if a
+    // coordinator of the lost seconds may rely on it.
+    time_point granting_end(time_point now) const;
+    // Identifies this process in the lease. Changes when it loses the lease in
+    // a restore.
+    std::uint64_t run_id() const
+    {
+        return self_.run_id;
+    }
+
     // The open write succeeded.
     void on_written(std::uint64_t store_revision, time_point now);
     // Another process wrote first, or the outcome of the open write is unknown.
@@ -177,6 +207,11 @@
 private:
     void confirm(time_point now);
     time_point takeover_time(bool unheld, bool cut_off) const;
+    // Whether a stored record was written before the last restore.
+    bool from_copy(const std::optional<lease_record>& record) const;
+    // Whether no other process can have taken the lease before this one learned
+    // of a restore at `now`.
+    bool held_alone(time_point now) const;
 
     lease_record self_;
     lease_options options_;
@@ -213,6 +248,19 @@
     time_point last_renewed_;
     // When the last confirmed write of this process was sent.
     std::optional<time_point> confirmed_at_;
+    // Since when no two confirmed writes were further apart than
+    // `lease_options::renewal_silence`.
+    time_point unbroken_since_;
+    store_epoch epoch_;
+    // Whether this process has seen an earlier epoch.
+    bool saw_restore_ = false;
+    // Whether this process held the lease at the last restore and has not
+    // written it in the new epoch.
+    bool claiming_ = false;
+    bool others_unseen_ = false;
+    time_point unseen_grants_end_;
+    // Until `unseen_grants_end_`, no grants are sent from this time on.
+    std::optional<time_point> pause_from_;
 };
 
 } // namespace filberthub
--- a/include/filberthub/routing/key_coordinator.hpp
+++ b/include/filberthub/routing/key_coordinator.hpp
@@ -12,6 +12,7 @@
 
 #include <filberthub/routing/key_granter.hpp>
 #include <filberthub/routing/key_planner.hpp>
+#include <filberthub/routing/store_epoch.hpp>
 
 namespace filberthub {
 
@@ -42,6 +43,14 @@
     // their grants end at this time.
     void shorten_earlier_grants(time_point earlier_grants_end);
 
+    // Sets the epoch of the store. To be called before `start`, and when the
+    // epoch has risen. No table is written before `unseen_grants_end`, until
+    // which servers may hold keys that no known table shows. If
+    // `others_unseen`, earlier coordinators may have written a first table that
+    // was lost.
+    void on_epoch(
+        store_epoch epoch, time_point unseen_grants_end, bool others_unseen);
+
     // Counts requests for a key. Keys out of range are ignored.
     void on_requests(key_number key, double count);
 
@@ -55,14 +64,16 @@
     void on_written(std::uint64_t store_revision, time_point now);
     // The open write was not carried out. The next call of `plan` starts over.
     void on_write_failed();
-    // The store had no table when it was read after a write without an answer.
-    // The write may still be carried out.
-    void on_write_undecided();
+    // The store had no table when it was read after a write without an answer,
+    // or after a restore. The write may still be carried out.
+    // `absent_revision` is the combined revision of a missing object.
+    void on_write_undecided(std::uint64_t absent_revision);
     // The store had this table when it was read after a write that conflicted
     // or had no answer. Returns whether the table was committed by this
     // coordinator. That may be an earlier write, which was carried out late.
     // Before its first commit, the coordinator starts over from a table that an
-    // earlier one has written meanwhile.
+    // earlier one has written meanwhile. Later it replaces one of an earlier
+    // epoch than the store's.
     bool on_read_back(
         const key_table& stored, std::uint64_t store_revision, time_point now);
     bool write_open() const
@@ -94,6 +105,11 @@
     // incarnations of servers that have restarted. Sets `changed` if it
     // differs from the committed table.
     key_table refreshed_table(bool& changed) const;
+    // Whether the table was written before the last restore of the store.
+    bool from_copy(const key_table& table) const;
+    // Whether a table may be written. Until then other grants may exist.
+    bool may_write(time_point now) const;
+    void give_up_write();
 
     key_granter granter_;
     key_plan_options plan_options_;
@@ -109,6 +125,9 @@
     // None of them can be once another write has succeeded.
     std::vector<key_table> undecided_;
     bool active_ = false;
+    store_epoch epoch_;
+    time_point unseen_grants_end_;
+    bool others_unseen_ = false;
 };
 
 } // namespace filberthub
--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -210,7 +210,7 @@
             told_by_successor_ = decode_lease_news(document);
         // With a different run id, the message is for an earlier run of this
         // process, and this run has granted nothing.
-        if (document.at("run").get<std::uint64_t>() == self_.run_id) {
+        if (document.at("run").get<std::uint64_t>() == lease_.run_id()) {
             // While the record names this process, the time is that of its own
             // lease.
             if (lease_.is_holder()) {
@@ -262,6 +262,11 @@
 void fleet_role::on_lease_news(const lease_news& news)
 {
     lease_.on_told(news.record, news.store_revision, clock_());
+    // Only a reply of the store tells its epoch, so that a malformed message
+    // cannot make this process ignore the store.
+    if (lease_.is_holder() &&
+        epoch_of_revision(news.store_revision) > store_.epoch())
+        read_lease();
     tick_soon();
 }
 
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -10,9 +10,6 @@
 using platform_api::object_kind;
 using platform_api::store_outcome;
 
-// Position of the term in the version of an object that the coordinator
-// publishes.
-constexpr unsigned term_shift = 32;
 constexpr milliseconds local_report_interval{300};
 constexpr milliseconds progress_report_interval{1'000};
 // An instance without changes from a coordinator reads the store itself after
@@ -119,9 +116,18 @@
             on_lease_news(*news);
         tick_soon();
     });
+    store_.on_epoch([this](store_epoch epoch) { on_store_epoch(epoch); });
     store_.watch_lease(true);
 }
 
+void fleet_role::on_store_epoch(store_epoch epoch)
+{
+    lease_.on_epoch(epoch, clock_());
+    if (controller_)
+        controller_->on_epoch(lease_.unseen_grants_end());
+    tick_soon();
+}
+
 milliseconds fleet_role::store_age(time_point now) const
 {
     if (!store_.last_contact())
@@ -235,12 +241,14 @@
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         controller_ = std::make_unique<ownership_controller>(settings_, view_,
             store_, term, lease_.earlier_leases_end(), clock_);
+        if (lease_.others_unseen())
+            controller_->assume_unseen_coordinators();
         // Until all instances poll this one, the members of the coordinator
         // before remain, so that gates do not move for nothing.
         server_.assume_members(view_.members(), settings_.instance, now);
         next_stop_request_ = now;
     }
-    controller_->set_lease_end(lease_.end());
+    controller_->set_lease_end(lease_.granting_end(now));
     stop_predecessor(now);
     if (now >= next_report_) {
         next_report_ = now + local_report_interval;
@@ -291,10 +299,9 @@
         return;
     published_members_ = text;
     ++publication_count_;
-    view_.update({deployment_view::members_key,
-                     object_version((lease_.record()->term << term_shift) +
-                                    publication_count_),
-                     text},
+    view_.update(
+        {deployment_view::members_key,
+            published_version(lease_.record()->term, publication_count_), text},
         now);
 }
 
@@ -305,7 +312,7 @@
     view_.log_all_updates(false);
     const auto& record = lease_.record();
     const bool follows_other =
-        record && !record->holder.empty() && record->run_id != self_.run_id;
+        record && !record->holder.empty() && record->run_id != lease_.run_id();
     client_.follow(follows_other ? record : std::nullopt);
     if (client_.fresh(now) && !client_.answering()) {
         // The view is recent enough, but there may be another coordinator.
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -43,6 +43,10 @@
     {
         return lease_.holds(now);
     }
+    store_epoch epoch() const
+    {
+        return store_.epoch();
+    }
     const coordinator_lease& lease() const
     {
         return lease_;
@@ -57,6 +61,7 @@
     void on_watch_update(const watch_update& update);
     void apply_update(const watch_update& update, time_point now);
     void on_lease_objects(const watch_update& update);
+    void on_store_epoch(store_epoch epoch);
     void coordinate(time_point now);
     void pause_coordinating(time_point now);
     void stop_coordinating();
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -96,6 +96,8 @@
             continue;
         auto& service = services_.try_emplace(id, grants).first->second;
         service.committed_at = now;
+        service.keys.on_epoch(
+            store_.epoch(), unseen_grants_end_, others_unseen_);
         const auto found = stored_tables_.find(id);
         if (found == stored_tables_.end())
             service.keys.start(std::nullopt, store_.absent_revision(),
@@ -192,7 +194,10 @@
     const service_id& id, service_ownership& service, time_point now)
 {
     if (service.needs_read_back) {
-        read_back(id);
+        // A write from before a restore must not be found and adopted before
+        // the grants of all other coordinators have ended.
+        if (now >= unseen_grants_end_)
+            read_back(id);
         return;
     }
     const auto next = service.keys.plan(key_servers(id, service, now), now);
@@ -365,6 +370,20 @@
         service.keys.shorten_earlier_grants(earlier_grants_end_);
 }
 
+void ownership_controller::on_epoch(time_point unseen_grants_end)
+{
+    unseen_grants_end_ = unseen_grants_end;
+    if (services_.empty()) {
+        stored_tables_.clear();
+        tables_read_ = false;
+    }
+    for (auto& [id, service] : services_) {
+        service.keys.on_epoch(
+            store_.epoch(), unseen_grants_end, others_unseen_);
+        service.needs_read_back = true;
+    }
+}
+
 void ownership_controller::on_report(const load_counts& counts)
 {
     for (const auto& [service, keys] : counts.requests) {
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -44,6 +44,17 @@
     // `earlier_leases_end` on.
     void on_predecessor_stopped(time_point earlier_leases_end);
 
+    // The store was restored from an older copy, and this coordinator keeps its
+    // lease. Keys may have been granted by another one until
+    // `unseen_grants_end`.
+    void on_epoch(time_point unseen_grants_end);
+    // To be called after the construction if earlier coordinators may exist of
+    // which the store does not know.
+    void assume_unseen_coordinators()
+    {
+        others_unseen_ = true;
+    }
+
     // How far the grants of a service have come.
     struct progress
     {
@@ -104,6 +115,8 @@
     store_session& store_;
     std::uint64_t term_;
     time_point earlier_grants_end_;
+    time_point unseen_grants_end_;
+    bool others_unseen_ = false;
     time_point lease_end_ = time_point::max();
     std::function<time_point()> clock_;
     // Tells the callbacks of open calls whether the controller still exists.
--- a/src/router/ownership_tables.cpp
+++ b/src/router/ownership_tables.cpp
@@ -12,8 +12,6 @@
 using platform_api::store_outcome;
 
 constexpr milliseconds table_read_retry{400};
-// Position of the term in the version of an object with served key ranges.
-constexpr unsigned term_shift = 32;
 
 } // namespace
 
@@ -110,8 +108,12 @@
             if (!*alive)
                 return;
             service_ownership& current = services_.at(id);
+            if (clock_() < unseen_grants_end_) {
+                current.needs_read_back = true;
+                return;
+            }
             if (outcome == store_outcome::not_found) {
-                current.keys.on_write_undecided();
+                current.keys.on_write_undecided(store_.absent_revision());
                 return;
             }
             if (outcome != store_outcome::done) {
@@ -162,14 +164,15 @@
     const std::string key = deployment_view::served_key(id, part);
     // This process may have published in the same term before its lease lapsed.
     const versioned_object* known = view_.objects().find(key);
-    if (known != nullptr && known->version.value() >> term_shift == term_) {
+    const object_version first = published_version(term_, 0);
+    if (known != nullptr && known->version >= first &&
+        known->version < published_version(term_ + 1, 0)) {
         publication_count_ = std::max(
-            publication_count_, known->version.value() - (term_ << term_shift));
+            publication_count_, known->version.value() - first.value());
     }
     ++publication_count_;
     view_.update(
-        {key, object_version((term_ << term_shift) + publication_count_), text},
-        now);
+        {key, published_version(term_, publication_count_), text}, now);
 }
 
 } // namespace filberthub
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -10,6 +10,9 @@
 constexpr std::int64_t max_stored_integer = std::int64_t{1} << 60;
 // Far above the time for which a coordinator may grant.
 constexpr std::int64_t max_grants_left_ms = 3'600'000;
+// Long enough for all takeovers that follow a report, before the last gap, that
+// the holder was cut off from the store: each renewal makes them fail.
+constexpr milliseconds min_unbroken{2'000};
 
 } // namespace
 
@@ -49,6 +52,17 @@
 {
     if (has_read_ && store_revision < revision_)
         return;
+    const store_epoch read_epoch = epoch_of_revision(store_revision);
+    if (read_epoch > epoch_ && has_read_)
+        on_epoch(read_epoch, now);
+    epoch_ = std::max(epoch_, read_epoch);
+    if (claiming_ && from_copy(record)) {
+        revision_ = store_revision;
+        needs_read_ = false;
+        write_uncertain_ = false;
+        return;
+    }
+    claiming_ = false;
     const bool changed = !has_read_ || store_revision != revision_;
     const bool was_holder = is_holder();
     const bool same_run =
@@ -134,8 +148,10 @@
         return std::nullopt;
     lease_record next = self_;
     if (is_holder()) {
-        next.term = record_->term;
-        if (confirmed_at_ && now < *confirmed_at_ + options_.renewal)
+        next.term =
+            claiming_ ? next_term(record_->term, epoch_) : record_->term;
+        if (!claiming_ && confirmed_at_ &&
+            now < *confirmed_at_ + options_.renewal)
             return std::nullopt;
         next.renewal = record_->renewal + 1;
     } else {
@@ -146,7 +162,7 @@
         const bool cut_off = coordinator_cut_off_ && !unheld;
         if (!restarted && now < takeover_time(unheld, cut_off))
             return std::nullopt;
-        next.term = record_ ? record_->term + 1 : 1;
+        next.term = next_term(record_ ? record_->term : 0, epoch_);
         // A holder that resigned or restarted has stopped granting, but a
         // coordinator that it replaced may not know that it was replaced.
         leases_before_predecessor_end_ =
@@ -157,6 +173,14 @@
         earlier_leases_end_ = stopped && record_
                                   ? leases_before_predecessor_end_
                                   : now + options_.duration;
+        // The copy does not show who held the lease in the lost seconds.
+        others_unseen_ = record_ ? from_copy(record_) : saw_restore_;
+        if (others_unseen_) {
+            earlier_leases_end_ = now + options_.duration;
+            leases_before_predecessor_end_ = earlier_leases_end_;
+        }
+        unseen_grants_end_ = {};
+        pause_from_.reset();
     }
     next.earlier_grants_left = std::max(milliseconds(0),
         std::chrono::ceil<milliseconds>(earlier_leases_end_ - now));
@@ -183,7 +207,8 @@
 void coordinator_lease::on_predecessor_stopped(
     time_point now, const std::optional<time_point>& leases_before_it_end)
 {
-    if (leases_before_it_end) {
+    // The predecessor does not know of coordinators of the lost seconds either.
+    if (leases_before_it_end && !others_unseen_) {
         leases_before_predecessor_end_ =
             std::min(leases_before_predecessor_end_, *leases_before_it_end);
     }
@@ -219,7 +244,60 @@
 {
     if (confirmed_at_ && now >= end())
         earlier_leases_end_ = std::max(earlier_leases_end_, end());
+    if (!confirmed_at_ ||
+        written_at_ - *confirmed_at_ >= options_.renewal_silence)
+        unbroken_since_ = written_at_;
     confirmed_at_ = written_at_;
+    claiming_ = false;
+}
+
+bool coordinator_lease::from_copy(
+    const std::optional<lease_record>& record) const
+{
+    return !record || epoch_of_term(record->term) < epoch_;
+}
+
+bool coordinator_lease::held_alone(time_point now) const
+{
+    return confirmed_at_ && now - *confirmed_at_ < options_.renewal_silence &&
+           *confirmed_at_ - unbroken_since_ >= min_unbroken;
+}
+
+void coordinator_lease::on_epoch(store_epoch epoch, time_point now)
+{
+    if (epoch <= epoch_)
+        return;
+    epoch_ = epoch;
+    saw_restore_ = true;
+    needs_read_ = true;
+    claiming_ = holds(now);
+    if (!claiming_) {
+        ++self_.run_id;
+        confirmed_at_.reset();
+        return;
+    }
+    if (held_alone(now))
+        return;
+    // A coordinator of the lost seconds took the lease after the last write of
+    // this process. It holds it for `duration` from now at most.
+    others_unseen_ = true;
+    earlier_leases_end_ =
+        std::max(earlier_leases_end_, now + options_.duration);
+    leases_before_predecessor_end_ = earlier_leases_end_;
+    if (now >= unseen_grants_end_)
+        pause_from_.reset();
+    unseen_grants_end_ = now + options_.duration + options_.max_grant;
+    // It assumes that this process grants nothing after the end of its lease,
+    // and gives away the keys of servers that do not answer `max_grant` later.
+    if (now - *confirmed_at_ > options_.max_grant)
+        pause_from_ = std::min(pause_from_.value_or(end()), end());
+}
+
+time_point coordinator_lease::granting_end(time_point now) const
+{
+    return pause_from_ && now < unseen_grants_end_
+               ? std::min(*pause_from_, end())
+               : end();
 }
 
 void coordinator_lease::on_written(std::uint64_t store_revision, time_point now)
--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -39,6 +39,30 @@
     active_ = false;
 }
 
+void key_coordinator::on_epoch(
+    store_epoch epoch, time_point unseen_grants_end, bool others_unseen)
+{
+    epoch_ = epoch;
+    unseen_grants_end_ = std::max(unseen_grants_end_, unseen_grants_end);
+    others_unseen_ = others_unseen;
+}
+
+bool key_coordinator::from_copy(const key_table& table) const
+{
+    return epoch_of_token(table.next_token) < epoch_;
+}
+
+// A table of the copy may name owners whose keys have moved in the lost
+// seconds. Nothing is granted by it before all other grants have ended.
+bool key_coordinator::may_write(time_point now) const
+{
+    if (now < unseen_grants_end_)
+        return false;
+    const bool copied =
+        table_.ranges.empty() ? others_unseen_ : from_copy(table_);
+    return active_ || !copied || now >= earlier_grants_end_;
+}
+
 void key_coordinator::shorten_earlier_grants(time_point earlier_grants_end)
 {
     earlier_grants_end_ = std::min(earlier_grants_end_, earlier_grants_end);
@@ -54,6 +78,10 @@
 key_table key_coordinator::refreshed_table(bool& changed) const
 {
     key_table next = table_;
+    if (from_copy(next)) {
+        next.next_token = first_token(epoch_);
+        changed = true;
+    }
     const auto outdated = granter_.outdated();
     for (key_range& range : next.ranges) {
         if (!range.previous.empty() && granter_.is_granted(range.token)) {
@@ -78,17 +106,19 @@
         std::chrono::duration<double, std::milli>(now - last_decay_at_).count();
     weights_.decay(std::exp2(-age_ms / weight_half_life_ms));
     last_decay_at_ = now;
-    if (pending_)
+    if (pending_ || !may_write(now))
         return std::nullopt;
     if (!active_) {
+        key_table base = table_;
+        base.next_token = std::max(base.next_token, first_token(epoch_));
         if (table_.ranges.empty()) {
             if (now - started_at_ < first_plan_delay)
                 return std::nullopt;
-            pending_ = plan_keys(table_, weights_, servers, plan_options_);
+            pending_ = plan_keys(base, weights_, servers, plan_options_);
         } else {
             // New tokens make the servers refuse commands of the previous
             // coordinator.
-            pending_ = table_;
+            pending_ = std::move(base);
             for (key_range& range : pending_->ranges) {
                 range.token = pending_->next_token;
                 pending_->next_token = pending_->next_token.next();
@@ -102,7 +132,7 @@
         pending_ = plan_keys(base, weights_, servers, plan_options_);
         if (!pending_ && changed &&
             (now - last_write_at_ >= cleanup_interval ||
-                !granter_.outdated().empty()))
+                !granter_.outdated().empty() || from_copy(table_)))
             pending_ = base;
     }
     if (!pending_)
@@ -133,7 +163,14 @@
     pending_.reset();
 }
 
-void key_coordinator::on_write_undecided()
+void key_coordinator::on_write_undecided(std::uint64_t absent_revision)
+{
+    give_up_write();
+    if (epoch_of_revision(absent_revision) > epoch_of_revision(revision_))
+        revision_ = absent_revision;
+}
+
+void key_coordinator::give_up_write()
 {
     if (pending_)
         undecided_.push_back(std::move(*pending_));
@@ -164,7 +201,11 @@
         undecided_.clear();
         return false;
     }
-    on_write_undecided();
+    give_up_write();
+    // A table of the copy, or a write from before the restore that was carried
+    // out after it.
+    if (from_copy(stored) && store_revision > revision_)
+        revision_ = store_revision;
     return false;
 }
 
