--- a/src/routing/key_coordinator.cpp
+++ b/src/routing/key_coordinator.cpp
@@ -48,6 +48,30 @@
     active_ = false;
 }
 
+void key_coordinator::on_epoch(
+    store_epoch epoch, time_point unseen_grants_end, bool others_unseen)
+{
+    epoch_ = epoch;
+    unseen_grants_end_ = std::max(unseen_grants_end_, unseen_grants_end);
+    others_unseen_ = others_unseen;
+}
+
+bool key_coordinator::from_copy(const key_table& table) const
+{
+    return epoch_of_token(table.next_token) < epoch_;
+}
+
+// A table of the copy may name owners whose keys have moved in the lost
+// seconds. Nothing is granted by it before all other grants have ended.
+bool key_coordinator::may_write(time_point now) const
+{
+    if (now < unseen_grants_end_)
+        return false;
+    const bool copied =
+        table_.ranges.empty() ? others_unseen_ : from_copy(table_);
+    return active_ || !copied || now >= earlier_grants_end_;
+}
+
 void key_coordinator::shorten_earlier_grants(time_point earlier_grants_end)
 {
     earlier_grants_end_ = std::min(earlier_grants_end_, earlier_grants_end);
@@ -79,6 +103,10 @@
 key_table key_coordinator::refreshed_table(bool& changed) const
 {
     key_table next = table_;
+    if (from_copy(next)) {
+        next.next_token = first_token(epoch_);
+        changed = true;
+    }
     const auto outdated = granter_.outdated();
     for (key_range& range : next.ranges) {
         if (!range.previous.empty() && granter_.is_granted(range.token)) {
@@ -129,7 +157,7 @@
         last_balance_at_ = now;
     if (!next && changed &&
         (now - last_write_at_ >= cleanup_interval ||
-            !granter_.outdated().empty()))
+            !granter_.outdated().empty() || from_copy(table_)))
         next = base;
     return next;
 }
@@ -138,18 +166,20 @@
     const std::vector<key_server>& servers, time_point now)
 {
     load_.update(now);
-    if (pending_)
+    if (pending_ || !may_write(now))
         return std::nullopt;
     if (!active_) {
+        key_table base = table_;
+        base.next_token = std::max(base.next_token, first_token(epoch_));
         if (table_.ranges.empty()) {
             if (now - started_at_ < first_plan_delay)
                 return std::nullopt;
             pending_ =
-                plan_keys(table_, load_.expected(), servers, plan_options_);
+                plan_keys(base, load_.expected(), servers, plan_options_);
         } else {
             // New tokens make the servers refuse commands of the previous
             // coordinator.
-            pending_ = table_;
+            pending_ = std::move(base);
             for (key_range& range : pending_->ranges) {
                 range.token = pending_->next_token;
                 pending_->next_token = pending_->next_token.next();
@@ -186,7 +216,14 @@
     pending_.reset();
 }
 
-void key_coordinator::on_write_undecided()
+void key_coordinator::on_write_undecided(std::uint64_t absent_revision)
+{
+    give_up_write();
+    if (epoch_of_revision(absent_revision) > epoch_of_revision(revision_))
+        revision_ = absent_revision;
+}
+
+void key_coordinator::give_up_write()
 {
     if (pending_)
         undecided_.push_back(std::move(*pending_));
@@ -217,7 +254,11 @@
         undecided_.clear();
         return false;
     }
-    on_write_undecided();
+    give_up_write();
+    // A table of the copy, or a write from before the restore that was carried
+    // out after it.
+    if (from_copy(stored) && store_revision > revision_)
+        revision_ = store_revision;
     return false;
 }
 
