Bound accepted connections by the descriptors of the process

Silent connections of callers took all descriptors, and no ordinary request was answered (silent-connections: 512 of 512 open).

Listeners get shares of the descriptors less 200 for files; at its bound a listener closes the connection without an open request that has been inactive for longest. Metrics of held bytes by kind and of dropped connections by reason. scripts/test.sh runs scripts/memory.sh last.

Closing one connection looks at all connections of its listener, only at the bound.

Not run: router_test with RouteSettings, lint, the release build.

--- a/include/filberthub/net/http_listener.hpp
+++ b/include/filberthub/net/http_listener.hpp
@@ -92,6 +92,9 @@
     // Bytes that the kernel receives ahead on each connection; 0 leaves that to
     // the kernel.
     std::size_t receive_buffer_bytes = 0;
+    // Maximum number of open connections. A further one takes the place of the
+    // connection without an open request that has been inactive for longest.
+    std::size_t max_connections = 1'000'000;
 };
 
 // Guarantees that each response goes to the connection of its request, in the
@@ -150,6 +153,7 @@
     friend class http_connection;
 
     void close_expired();
+    bool make_room();
 
     http_listener_options options_;
     http_handler handler_;
--- a/include/filberthub/router/route_settings.hpp
+++ b/include/filberthub/router/route_settings.hpp
@@ -35,6 +35,9 @@
     double processor_share = 1;
     // Memory that this process may use.
     std::size_t memory_bytes = std::size_t{512} * 1024 * 1024;
+    // Descriptors that this process may open; 0 stands for the limit of the
+    // process.
+    std::size_t descriptors = 0;
     // Limits that the operator of the platform sets.
     platform_api::operator_bounds bounds;
     std::string log_output = "stdout";
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,3 +28,5 @@
     --only slow_servers_leave_and_stay
 bash scripts/soak.sh --seed 1 --only server_links_heal
 bash scripts/check_deploy.sh
+# Last and one case at a time, because other load changes what clients hold.
+bash scripts/memory.sh
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -171,6 +171,7 @@
 std::string encode_head(const http_request& request)
 {
     std::string bytes;
+    bytes.reserve(usual_head_bytes);
     append_head(bytes, request);
     return bytes;
 }
@@ -178,6 +179,7 @@
 std::string encode_head(const http_response& response)
 {
     std::string bytes;
+    bytes.reserve(usual_head_bytes);
     append_head(bytes, response);
     return bytes;
 }
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -3,10 +3,13 @@
 
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/net/http_listener.hpp>
+#include <filberthub/routing/descriptor_limits.hpp>
 
 #include <QtCore/QTimer>
 #include <QtNetwork/QHostAddress>
 
+#include <unistd.h>
+
 namespace filberthub {
 namespace {
 
@@ -109,9 +112,29 @@
 
 void http_listener::incomingConnection(qintptr descriptor)
 {
+    if (connections_.size() >= options_.max_connections && !make_room()) {
+        ::close(static_cast<int>(descriptor));
+        return;
+    }
     connections_.insert(new http_connection(*this, descriptor));
 }
 
+// Closes the connection that is missed least. Returns whether there was one.
+bool http_listener::make_room()
+{
+    std::vector<http_connection*> open;
+    std::vector<connection_activity> activity;
+    for (http_connection* connection : connections_) {
+        open.push_back(connection);
+        activity.push_back(
+            {connection->serving(), connection->last_progress()});
+    }
+    const auto chosen = connection_to_close(activity);
+    if (chosen)
+        open.at(*chosen)->abort();
+    return chosen.has_value();
+}
+
 void http_listener::close_expired()
 {
     const time_point now = std::chrono::steady_clock::now();
--- a/src/router/route_settings.cpp
+++ b/src/router/route_settings.cpp
@@ -8,6 +8,7 @@
 constexpr std::int64_t max_port = 65'535;
 constexpr std::int64_t bytes_per_megabyte = 1'048'576;
 constexpr std::int64_t max_memory_megabytes = 1'048'576;
+constexpr std::int64_t max_descriptors = 1'000'000;
 
 double read_positive_number(json_reader& reader, const std::string& field)
 {
@@ -45,6 +46,8 @@
             reader.integer("memory_megabytes", 1, max_memory_megabytes) *
             bytes_per_megabyte);
     }
+    settings.descriptors = static_cast<std::size_t>(
+        reader.integer_or("descriptors", 0, max_descriptors, 0));
     reader.integer_or("server_heartbeat_ms", 1, 1'000'000, 1'000);
     settings.bounds = platform_api::decode_bounds(reader.value("bounds"));
     if (reader.has("log")) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -5,8 +5,13 @@
 #include "router/fleet_role.hpp"
 #include "router/status_page.hpp"
 
+#include <filberthub/routing/descriptor_limits.hpp>
 #include <filberthub/telemetry/log.hpp>
 
+#include <sys/resource.h>
+
+#include <array>
+
 namespace filberthub {
 namespace {
 
@@ -22,16 +27,72 @@
 // on the platform. Above the bytes in flight at the deployments' rates.
 constexpr std::size_t receive_buffer_bytes = std::size_t{256} * 1024;
 
-http_listener_options listener_options(std::shared_ptr<memory_budget> budget)
+// For a process without a limit of its descriptors.
+constexpr std::size_t max_descriptors = 65'536;
+
+// Returns how many descriptors this process may open.
+std::size_t descriptors_of(const route_settings& settings)
+{
+    std::size_t count =
+        settings.descriptors > 0 ? settings.descriptors : max_descriptors;
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        count = std::min<std::size_t>(count, limit.rlim_cur);
+    return count;
+}
+
+http_listener_options listener_options(
+    std::shared_ptr<memory_budget> budget, std::size_t max_connections)
 {
     http_listener_options options;
     options.pipelined_requests = 16;
+    options.max_connections = max_connections;
     options.buffered_bytes = budget->limits().total;
     options.budget = std::move(budget);
     options.receive_buffer_bytes = receive_buffer_bytes;
     return options;
 }
 
+// What the memory budget holds and has dropped.
+class memory_metrics
+{
+public:
+    memory_metrics(metric_registry& metrics, const memory_budget& budget)
+        : budget_(budget)
+    {
+        for (std::size_t kind = 0; kind < memory_kind_count; ++kind) {
+            const auto name = to_string(static_cast<memory_kind>(kind));
+            held_.at(kind) = &metrics.add_gauge("filberthub_held_bytes",
+                "Bytes held for callers, servers and other instances.",
+                {{"kind", std::string(name)}});
+        }
+        for (std::size_t reason = 0; reason < shed_reason_count; ++reason) {
+            const auto name = to_string(static_cast<shed_reason>(reason));
+            shed_.at(reason) = &metrics.add_counter("filberthub_shed_total",
+                "Connections dropped because they held too much memory.",
+                {{"reason", std::string(name)}});
+        }
+    }
+
+    void update()
+    {
+        for (std::size_t kind = 0; kind < memory_kind_count; ++kind) {
+            held_.at(kind)->set(static_cast<double>(
+                budget_.use()[static_cast<memory_kind>(kind)]));
+        }
+        for (std::size_t reason = 0; reason < shed_reason_count; ++reason) {
+            const std::uint64_t count =
+                budget_.shed(static_cast<shed_reason>(reason));
+            shed_.at(reason)->add(count - shed_.at(reason)->value());
+        }
+    }
+
+private:
+    const memory_budget& budget_;
+    std::array<gauge*, memory_kind_count> held_{};
+    std::array<counter*, shed_reason_count> shed_{};
+};
+
 http_response status_only(int status)
 {
     http_response response;
@@ -50,24 +111,26 @@
           gates(settings, view, boot_time_now),
           budget(std::make_shared<memory_budget>(
               memory_limits::of_process(settings.memory_bytes))),
+          memory(metrics, *budget),
+          connections(descriptor_limits::of_process(descriptors_of(settings))),
           callers(settings, view, gates, metrics, budget, boot_time_now),
           role(
               settings, view, metrics,
               [this] { return callers.take_load_counts(); }, boot_time_now),
-          caller_listener(listener_options(budget),
+          caller_listener(listener_options(budget, connections.callers),
               [this](std::shared_ptr<http_exchange> exchange) {
                   callers.accept(std::move(exchange));
               }),
-          readiness_listener(listener_options(budget),
+          readiness_listener(listener_options(budget, connections.readiness),
               [this](const std::shared_ptr<http_exchange>& exchange) {
                   exchange->respond(
                       status_only(view.ready() && !shutdown ? 200 : 503));
               }),
-          peer_listener(listener_options(budget),
+          peer_listener(listener_options(budget, connections.peers),
               [this](std::shared_ptr<http_exchange> exchange) {
                   role.on_poll(std::move(exchange));
               }),
-          operator_listener(listener_options(budget),
+          operator_listener(listener_options(budget, connections.operators),
               [this](const std::shared_ptr<http_exchange>& exchange) {
                   exchange->respond(
                       operator_response(exchange->request().target, settings,
@@ -103,6 +166,7 @@
         if (now >= next_sweep) {
             next_sweep = now + sweep_interval;
             callers.sweep();
+            memory.update();
         }
         if (now >= next_rotate) {
             next_rotate = now + metric_window;
@@ -155,6 +219,8 @@
     deployment_view view;
     gate_service gates;
     std::shared_ptr<memory_budget> budget;
+    memory_metrics memory;
+    descriptor_limits connections;
     caller_service callers;
     fleet_role role;
     http_listener caller_listener;
