--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -1,11 +1,15 @@
 #include "net/http_connection.hpp"
+#include "net/socket_options.hpp"
 
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/net/http_listener.hpp>
+#include <filberthub/routing/descriptor_limits.hpp>
 
 #include <QtCore/QTimer>
 #include <QtNetwork/QHostAddress>
 
+#include <unistd.h>
+
 namespace filberthub {
 namespace {
 
@@ -16,7 +20,11 @@
 
 http_exchange::http_exchange(http_request request, http_connection* connection)
     : request_(std::move(request)), connection_(connection)
-{}
+{
+    head_bytes_ = request_.target.size();
+    for (const http_headers::field& item : request_.headers.fields())
+        head_bytes_ += sizeof(item) + item.name.size() + item.value.size();
+}
 
 void http_exchange::respond(http_response response)
 {
@@ -41,7 +49,7 @@
 
 http_listener::http_listener(
     http_listener_options options, http_handler handler)
-    : options_(options), handler_(std::move(handler))
+    : options_(std::move(options)), handler_(std::move(handler))
 {
     setListenBacklogSize(listen_backlog);
     auto* timer = new QTimer(this);
@@ -65,6 +73,10 @@
                                                   to_string(address) + ": " +
                                                   errorString().toStdString());
     }
+    if (options_.receive_buffer_bytes > 0) {
+        detail::limit_receive_buffer(static_cast<int>(socketDescriptor()),
+            options_.receive_buffer_bytes);
+    }
 }
 
 endpoint http_listener::address() const
@@ -100,14 +112,35 @@
 
 void http_listener::incomingConnection(qintptr descriptor)
 {
+    if (connections_.size() >= options_.max_connections && !make_room()) {
+        ::close(static_cast<int>(descriptor));
+        return;
+    }
     connections_.insert(new http_connection(*this, descriptor));
 }
 
+// Closes the connection that is missed least. Returns whether there was one.
+bool http_listener::make_room()
+{
+    std::vector<http_connection*> open;
+    std::vector<connection_activity> activity;
+    for (http_connection* connection : connections_) {
+        open.push_back(connection);
+        activity.push_back(
+            {connection->serving(), connection->last_progress()});
+    }
+    const auto chosen = connection_to_close(activity);
+    if (chosen)
+        open.at(*chosen)->abort();
+    return chosen.has_value();
+}
+
 void http_listener::close_expired()
 {
     const time_point now = std::chrono::steady_clock::now();
     const std::unordered_set<http_connection*> open = connections_;
     for (http_connection* connection : open) {
+        connection->account();
         if (draining_)
             connection->close_if_idle(now);
         else
