Allocate quota shares at once in the first term and after each join

Cause: EnforcesTheQuotaOfAnAccount failed with 3 served requests instead of 21. The reply to the first report of an instance was made before a plan included it, and gave it no share; and without an earlier lease record the earlier leases are taken to end 8 s later, although the first term has no earlier coordinator.

Change: a new instance is planned at the next tick, a reply before that has no shares, and a coordinator of term 1 allocates at once.

Tests: router_test caller_accounts_test.* (6) and routing_test *quota* (6) pass; EnforcesTheQuotaOfAnAccount was seen to fail before (3 instead of 21). The other tests of router_test have not been run since the feed carries shares.

--- a/include/filberthub/routing/quota_allocator.hpp
+++ b/include/filberthub/routing/quota_allocator.hpp
@@ -44,7 +44,7 @@
     void advance(const client_accounts& accounts, const quota_bounds& bounds,
         time_point confirmed, time_point now);
     // Returns the reply to the last poll of the instance, or nothing if none of
-    // its reports is known. To be called once for each poll.
+    // its reports was planned yet. To be called once for each poll.
     std::optional<quota_reply> reply_for(
         const instance_id& instance, time_point now);
 
@@ -72,6 +72,8 @@
         bool offer_open = false;
         // Whether the instance uses shares that this process has not set.
         bool unknown_state = false;
+        // Whether a plan has included the instance.
+        bool planned = false;
         std::map<std::string, entry> entries;
     };
 
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -239,7 +239,10 @@
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         controller_ = std::make_unique<ownership_controller>(settings_, view_,
             store_, term, lease_.earlier_leases_end(), clock_);
-        quotas_.emplace(term, lease_.earlier_leases_end());
+        // The lease of the first term is created, so that no process has
+        // coordinated before.
+        quotas_.emplace(
+            term, term == 1 ? time_point{} : lease_.earlier_leases_end());
         // Until all instances poll this one, the members of the coordinator
         // before remain, so that gates do not move for nothing.
         server_.assume_members(view_.members(), settings_.instance, now);
--- a/src/routing/quota_allocator.cpp
+++ b/src/routing/quota_allocator.cpp
@@ -182,9 +182,10 @@
 {
     const auto [found, added] = members_.try_emplace(instance);
     member& owner = found->second;
-    if (added)
+    if (added) {
         owner.last_report = now - milliseconds(1'000);
-    else if (report.sequence <= owner.sequence)
+        next_plan_ = now;
+    } else if (report.sequence <= owner.sequence)
         return;
     add_used(owner, -1);
     settle(owner, report, now);
@@ -221,6 +222,7 @@
     for (auto& [instance, owner] : members_) {
         for (auto& [account, item] : owner.entries)
             item.target = 0;
+        owner.planned = true;
     }
     window_ = quota_window(bounds);
     totals_.clear();
@@ -272,8 +274,8 @@
     const auto found = members_.find(instance);
     // The reply to an earlier poll may still be applied while its offer is
     // open.
-    if (found == members_.end() || found->second.unknown_state ||
-        found->second.offer_open)
+    if (found == members_.end() || !found->second.planned ||
+        found->second.unknown_state || found->second.offer_open)
         return std::nullopt;
     member& owner = found->second;
     quota_reply reply;
