Spread Retry-After and serve returning callers by their first attempt

Cause: all callers rejected at one moment got the same Retry-After, and a retry was queued like a new request: it was served late for its caller while others could still be in time. retry_spread draws the value from the period in which room is expected, at most a third of the time left. attempt_age infers the time since the first attempt from the deadline; the target time counts from there, and a retry that can meet it goes before first attempts of its urgency. The age is a new last element of the slot request, which earlier releases ignore.

--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -54,6 +54,8 @@
     // An answer before this time has its full value.
     time_point target_time;
     time_point answer_deadline;
+    // Time since the caller's first attempt; 0 for a first attempt.
+    milliseconds age{0};
     // Set by the gate.
     time_point queued_at;
 };
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -140,7 +140,10 @@
             ? cross_domain_cost_large_body
             : cross_domain_cost;
     slot.urgency = request->route->urgency;
-    slot.target_time = request->arrived + request->route->latency_target;
+    slot.age = request->age;
+    // The caller counts from its first attempt.
+    slot.target_time =
+        request->arrived - request->age + request->route->latency_target;
     slot.answer_deadline = request->state.answer_deadline;
     const std::weak_ptr<caller_request> weak_request = request;
     request->slot_number = gates_.request_slot(std::move(slot),
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -31,6 +31,8 @@
     std::string id;
     request_state state;
     time_point arrived;
+    // Inferred time since the caller's first attempt.
+    milliseconds age{0};
     // No attempt starts before this time.
     time_point not_before;
     // Servers that have had the request.
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -2,6 +2,7 @@
 
 #include "router/caller_request.hpp"
 
+#include <filberthub/routing/retry_spread.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
@@ -229,9 +230,19 @@
 {
     http_response response;
     response.status = answer.status;
-    if (answer.retry_after)
-        response.headers.set(
-            header::retry_after, format_seconds(*answer.retry_after));
+    if (answer.retry_after) {
+        // A request that fails before its route is known has no deadline yet.
+        const milliseconds wait = *answer.retry_after;
+        const bool has_deadline =
+            request->state.answer_deadline != time_point();
+        response.headers.set(header::retry_after,
+            format_seconds(
+                has_deadline
+                    ? spread_retry(wait,
+                          elapsed(clock_(), request->state.answer_deadline),
+                          view_.uniform_random())
+                    : wait));
+    }
     if (!request->id.empty())
         response.headers.set(header::request_id, request->id);
     response.headers.set("Content-Type", "text/plain");
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -74,6 +74,17 @@
         .first->second;
 }
 
+milliseconds caller_service::age_of(
+    const caller_request& request, milliseconds timeout)
+{
+    // Routes are replaced as a whole, by a new configuration.
+    if (ages_routes_ != request.routes) {
+        ages_routes_ = request.routes;
+        ages_.clear();
+    }
+    return ages_[request.route].on_request(timeout, request.arrived);
+}
+
 void caller_service::accept(std::shared_ptr<http_exchange> exchange)
 {
     const time_point now = clock_();
@@ -116,10 +127,12 @@
     request->state.repeatable = request->route->repeatable;
     request->state.keyed = request->key.has_value();
     request->state.attempts_allowed = request->route->attempts;
+    const auto caller_timeout = decode_caller_timeout(original.headers);
     request->state.answer_deadline = compute_answer_deadline(request->arrived,
-        decode_caller_timeout(original.headers)
-            .value_or(default_caller_timeout),
+        caller_timeout.value_or(default_caller_timeout),
         request->route->answer_timeout);
+    if (caller_timeout)
+        request->age = age_of(*request, *caller_timeout);
     if (shutdown_ && !shutdown_->takes_request(
                          request->arrived, request->state.answer_deadline)) {
         fail(request, {503, retry_delay}, "this instance is stopping");
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -12,6 +12,7 @@
 #include "router/gate_service.hpp"
 
 #include <filberthub/net/http_listener.hpp>
+#include <filberthub/routing/attempt_age.hpp>
 #include <filberthub/routing/request_rules.hpp>
 #include <filberthub/routing/shutdown_plan.hpp>
 #include <filberthub/routing/window_budget.hpp>
@@ -108,6 +109,7 @@
     bool is_sent(const caller_request& request) const;
     void cancel_attempt(caller_request& request, time_point now);
     window_budget& budget_of(const service_id& service);
+    milliseconds age_of(const caller_request& request, milliseconds timeout);
     http_request make_forwarded_request(
         const caller_request& request, time_point now) const;
 
@@ -121,6 +123,9 @@
     std::vector<request_ptr> waiting_requests_;
     // Retry budgets.
     std::map<service_id, window_budget> budgets_;
+    // Of each route of `ages_routes_`.
+    std::map<const route_rule*, attempt_age> ages_;
+    std::shared_ptr<const route_table> ages_routes_;
     load_counts counts_;
     QTimer retry_timer_;
     // Set once the process was told to stop.
--- a/src/router/gate_messages.hpp
+++ b/src/router/gate_messages.hpp
@@ -11,7 +11,8 @@
 // Kinds of messages, the first element of each.
 // [1, number, service, group, owner or "", urgency, ms to the target time,
 //  ms to the answer deadline, failure domain, cross-domain cost in ms,
-//  excluded servers]; sent again under the same number to ask again
+//  excluded servers, age of the first attempt in ms]; sent again under the same
+//  number to ask again
 inline constexpr int slot_request_message = 1;
 // [2, number, decision, server, wait in ms]
 inline constexpr int decision_message = 2;
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -143,7 +143,7 @@
              time_left(now, request.target_time).count(),
              time_left(now, request.answer_deadline).count(),
              request.domain.value(), request.cross_domain_cost.count(),
-             excluded},
+             excluded, request.age.count()},
         pending.question.host);
 }
 
--- a/src/router/gate_service_host.cpp
+++ b/src/router/gate_service_host.cpp
@@ -31,6 +31,9 @@
     request.cross_domain_cost = read_milliseconds(message.at(9));
     for (const json& id : message.at(10))
         request.excluded.emplace_back(id.get<std::string>());
+    // Missing in messages of earlier releases.
+    if (message.size() > 11)
+        request.age = read_milliseconds(message.at(11));
     send_decisions(gate_.request_slot(std::move(request), now));
     if (!sweep_timer_.isActive())
         sweep_timer_.start(sweep_interval);
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -38,9 +38,9 @@
 }
 
 // Order of service: by urgency, then requests that can still meet their target
-// time, then the earliest target time. Under overload, the latest target time
-// of those that can be met comes first, since otherwise each request would be
-// served when it is barely in time.
+// time, then callers that were rejected before, then the earliest target time.
+// Under overload, the latest target time of those that can be met comes first,
+// since otherwise each request would be served when it is barely in time.
 bool is_served_before(const slot_request& left, const slot_request& right,
     time_point now, double work_ms, bool overload = false)
 {
@@ -54,6 +54,10 @@
     const bool right_in_time = expected_finish <= right.target_time;
     if (left_in_time != right_in_time)
         return left_in_time;
+    const bool left_is_retry = left.age.count() > 0;
+    const bool right_is_retry = right.age.count() > 0;
+    if (left_is_retry != right_is_retry)
+        return left_is_retry;
     return left_in_time && overload ? left.target_time > right.target_time
                                     : left.target_time < right.target_time;
 }
