--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -2,6 +2,7 @@
 
 #include "router/caller_request.hpp"
 
+#include <filberthub/routing/retry_spread.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
@@ -244,9 +245,19 @@
 {
     http_response response;
     response.status = answer.status;
-    if (answer.retry_after)
-        response.headers.set(
-            header::retry_after, format_seconds(*answer.retry_after));
+    if (answer.retry_after) {
+        // A request that fails before its route is known has no deadline yet.
+        const milliseconds wait = *answer.retry_after;
+        const bool has_deadline =
+            request->state.answer_deadline != time_point();
+        response.headers.set(header::retry_after,
+            format_seconds(
+                has_deadline
+                    ? spread_retry(wait,
+                          elapsed(clock_(), request->state.answer_deadline),
+                          view_.uniform_random())
+                    : wait));
+    }
     if (answer.status == 401)
         response.headers.set("WWW-Authenticate", "Bearer");
     if (!request->id.empty())
