Use what a restored store shows of servers with care

A copy lacks servers that registered since, shows servers that have left as ready and an older configuration; an instance that took it over would lose servers, send requests to leaving ones and apply the old configuration.

An incarnation that was seen draining stays so. A configuration in force keeps its content under the new version, so that instances which start get it.

Not done: an evacuation that the copy lacks ends until the operator writes it again.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -131,11 +131,11 @@
     {
         return unseen_grants_end_;
     }
-    // Whether this process took the lease from a copy of the store, so that
-    // earlier coordinators may exist of which it does not know.
-    bool others_unseen() const
+    // Whether earlier coordinators may have granted keys although the store has
+    // no table, as a restore has lost it.
+    bool table_may_be_lost() const
     {
-        return others_unseen_;
+        return table_may_be_lost_;
     }
     // Until when this process may send grants. Earlier than `end` if a
     // coordinator of the lost seconds may rely on it.
@@ -257,7 +257,9 @@
     // Whether this process held the lease at the last restore and has not
     // written it in the new epoch.
     bool claiming_ = false;
+    // Whether a copy of the store hides coordinators that were before this one.
     bool others_unseen_ = false;
+    bool table_may_be_lost_ = false;
     time_point unseen_grants_end_;
     // Until `unseen_grants_end_`, no grants are sent from this time on.
     std::optional<time_point> pause_from_;
--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -59,9 +59,11 @@
 
 void deployment_view::update(const versioned_object& object, time_point now)
 {
-    if (!objects_.merge(object))
+    note_epoch(object, now);
+    const versioned_object newest = newest_configuration(object);
+    if (!objects_.merge(newest))
         return;
-    apply(object, now);
+    apply(newest, now);
     report_change();
 }
 
@@ -89,8 +91,14 @@
     const std::vector<versioned_object>& objects, object_version version,
     time_point now)
 {
+    note_epoch(
+        {platform_api::kind_name(kind) + "/", version, std::nullopt}, now);
     const std::vector<versioned_object> changes =
-        objects_.merge_list(platform_api::kind_name(kind), objects, version);
+        objects_.merge_list(platform_api::kind_name(kind),
+            kind == object_kind::configuration
+                ? newest_configurations(objects, version)
+                : objects,
+            version);
     if (kind == object_kind::server)
         servers_known_ = true;
     for (const versioned_object& object : changes)
@@ -196,8 +204,8 @@
     }
     deferred_removals_.erase(id);
     try {
-        const server_entry entry =
-            platform_api::decode_server(name, *object.value);
+        server_entry entry = platform_api::decode_server(name, *object.value);
+        entry.draining = note_leaving(entry, object.version, now);
         // Each server has one at the start and one for each step of its
         // warm-up.
         log_event(is_news(entry) ? log_level::info : log_level::debug,
@@ -310,36 +318,11 @@
     }
 }
 
-void deployment_view::defer_removals_until(time_point until)
-{
-    defer_until_ = until;
-}
-
 void deployment_view::set_changes_missed_since(std::optional<time_point> since)
 {
     changes_missed_since_ = since;
 }
 
-void deployment_view::apply_deferred_removals(time_point now)
-{
-    bool removed_any = false;
-    for (auto it = deferred_removals_.begin();
-         it != deferred_removals_.end();) {
-        if (now < it->second) {
-            ++it;
-            continue;
-        }
-        log_event(log_level::info, "server removed after a store outage",
-            {{log_key::server, it->first.value()}});
-        entries_.erase(it->first);
-        servers_.remove(it->first);
-        it = deferred_removals_.erase(it);
-        removed_any = true;
-    }
-    if (removed_any)
-        report_change();
-}
-
 std::optional<std::uint64_t> deployment_view::incarnation_of(
     const backend_server_id& id) const
 {
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -16,6 +16,7 @@
 #include <filberthub/routing/object_cache.hpp>
 #include <filberthub/routing/route_table.hpp>
 #include <filberthub/routing/server_pool.hpp>
+#include <filberthub/routing/store_epoch.hpp>
 
 #include <platform/store_api.hpp>
 
@@ -181,6 +182,19 @@
 
 private:
     void apply(const versioned_object& object, time_point now);
+    // To be called with each object before it is merged. The first one of a
+    // later epoch of the store defers removals of servers.
+    void note_epoch(const versioned_object& object, time_point now);
+    // Returns a configuration of a later epoch with the content in force, if
+    // its own is older or missing.
+    versioned_object newest_configuration(const versioned_object& object) const;
+    // The same for the list at `version`. Missing ones are added.
+    std::vector<versioned_object> newest_configurations(
+        std::vector<versioned_object> objects, object_version version) const;
+    // Returns whether an incarnation is leaving, by this entry or by one of an
+    // earlier epoch, and remembers it.
+    bool note_leaving(
+        const server_entry& entry, object_version version, time_point now);
     void apply_config(const versioned_object& object);
     void apply_server(const std::string& name, const versioned_object& object,
         time_point now);
@@ -204,6 +218,16 @@
     std::map<backend_server_id, server_entry> entries_;
     std::map<backend_server_id, time_point> deferred_removals_;
     time_point defer_until_;
+    // Highest epoch of an object of the store; nothing before the first object.
+    std::optional<store_epoch> epoch_;
+    struct leaving_server
+    {
+        std::uint64_t started = 0;
+        object_version version;
+        time_point seen_at;
+    };
+    // Servers whose entries have said that they drain.
+    std::map<backend_server_id, leaving_server> leaving_;
     std::optional<time_point> changes_missed_since_;
     // By key, the earliest time at which the last change may have happened.
     std::map<std::string, time_point> changed_since_;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -122,7 +122,18 @@
 
 void fleet_role::on_store_epoch(store_epoch epoch)
 {
-    lease_.on_epoch(epoch, clock_());
+    const time_point now = clock_();
+    const bool was_holder = lease_.is_holder();
+    lease_.on_epoch(epoch, now);
+    if (was_holder) {
+        const auto wait =
+            std::chrono::ceil<milliseconds>(lease_.unseen_grants_end() - now);
+        log_event(log_level::info,
+            "coordinator has seen a restore of the store",
+            {{"lease_kept", lease_.is_holder()},
+                {log_key::duration_ms,
+                    std::max(milliseconds(0), wait).count()}});
+    }
     if (controller_)
         controller_->on_epoch(lease_.unseen_grants_end());
     tick_soon();
@@ -241,7 +252,7 @@
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         controller_ = std::make_unique<ownership_controller>(settings_, view_,
             store_, term, lease_.earlier_leases_end(), clock_);
-        if (lease_.others_unseen())
+        if (lease_.table_may_be_lost())
             controller_->assume_unseen_coordinators();
         // Until all instances poll this one, the members of the coordinator
         // before remain, so that gates do not move for nothing.
--- a/src/router/status_page.cpp
+++ b/src/router/status_page.cpp
@@ -33,6 +33,7 @@
     }
     const auto& lease = role.lease().record();
     return {{"instance", settings.instance.value()}, {"ready", view.ready()},
+        {"store_epoch", role.epoch().value()},
         {"revision", routes ? routes->config().version.value() : 0},
         {"fleet_size", view.fleet_size()},
         {"coordinator", lease ? lease->holder.value() : ""},
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -175,6 +175,9 @@
                                   : now + options_.duration;
         // The copy does not show who held the lease in the lost seconds.
         others_unseen_ = record_ ? from_copy(record_) : saw_restore_;
+        // An earlier holder may have found no table after a restore either.
+        table_may_be_lost_ =
+            epoch_ > store_epoch{} && (record_ || saw_restore_);
         if (others_unseen_) {
             earlier_leases_end_ = now + options_.duration;
             leases_before_predecessor_end_ = earlier_leases_end_;
--- a/test/routing/store_epoch_test.cpp
+++ b/test/routing/store_epoch_test.cpp
@@ -78,7 +78,7 @@
     EXPECT_GT(write->record.term, other.term);
     EXPECT_NE(write->record.run_id, own.run_id);
     lease.on_written(in_epoch(2, 21), at_ms(9'500));
-    EXPECT_TRUE(lease.others_unseen());
+    EXPECT_TRUE(lease.table_may_be_lost());
     EXPECT_GE(lease.earlier_leases_end(), at_ms(17'500));
     // The predecessor cannot speak for coordinators of the lost seconds.
     lease.on_predecessor_stopped(at_ms(9'600), at_ms(9'600));
