Let the soak restore the store from an older copy

The simulated store keeps copies, goes back to one under the next epoch, issues its revisions again and answers later watches with 410. The fault store_is_restored plays this alone, beside the loss of the coordinator, or while routers are cut off.

--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -135,6 +135,71 @@
         run.store.compact()
 
 
+async def restore_store(run):
+    """Restores the store from a copy some seconds old, after an outage or
+    without one. The operator writes its objects again about a second later."""
+    saved = run.store.make_copy()
+    await sleep_random(run, 1, 8)
+    outage = run.random.choice([0.0, 0.5, 2.0, 5.0])
+    if outage:
+        run.store.faults["*"] = "busy"
+        await asyncio.sleep(outage)
+    current = run.store.objects["config"]["main"]["Spec"]
+    run.store.restore(saved)
+    run.journal.record("store restored", epoch=run.store.epoch, outage=outage)
+    run.store.faults.pop("*", None)
+    await sleep_random(run, 0.5, 1.5)
+    stored = run.store.objects.get("config", {}).get("main")
+    # The configuration may have changed again since the restore.
+    if stored is None or stored["Spec"]["Version"] < current["Version"]:
+        run.store.put("config", "main", current)
+    for domain in sorted(run.evacuated):
+        run.store.put("evacuations", domain, {})
+    for domain in list(run.store.objects.get("evacuations", {})):
+        if domain not in run.evacuated:
+            run.store.delete("evacuations", domain)
+    # Entries are published again within 2 s.
+    await asyncio.sleep(2)
+
+
+# Chosen only if it is named, so that the seeds of earlier runs keep their faults.
+@fault(0)
+async def store_is_restored(run):
+    """Plays the restore alone, beside the loss of the coordinator, or while
+    some routers are cut off from the store."""
+    if getattr(run, "restoring", False):
+        return
+    run.restoring = True
+    mode = run.random.choice(["alone", "coordinator", "cut"])
+    routers = []
+    if mode == "coordinator":
+        routers = [router for router in active_routers(run)
+                   if router.name == run.store.coordinator()]
+    elif mode == "cut":
+        routers = sample_share(run, run.routers, 0.4)
+    run.journal.record("restore drill", mode=mode,
+                       routers=[router.name for router in routers])
+    # Without routers nobody but the store is disturbed.
+    routers_disturbed = record_disturbance(run, "routers", routers) \
+        if routers else contextlib.nullcontext()
+    with record_disturbance(run, "store"), routers_disturbed:
+        drill = asyncio.create_task(restore_store(run))
+        await sleep_random(run, 0.5, 6)
+        for router in routers:
+            if mode == "coordinator":
+                router.kill()
+            else:
+                router.store_proxy.block("up", "down")
+        await sleep_random(run, 0.5, 5)
+        for router in routers:
+            if mode == "coordinator":
+                router.start()
+            else:
+                router.store_proxy.unblock()
+        await drill
+    run.restoring = False
+
+
 @fault(2)
 async def store_links_fail(run):
     """Blocks connections of some routers to the store in one or both
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -23,6 +23,8 @@
         self.random = random.Random(f"{seed}/store")
         self.objects = {}
         self.revision = 1000
+        # Sent as the header Store-Era; none before the first restore.
+        self.epoch = None
         self.history = []
         self.oldest_revision = self.revision
         self.changed = asyncio.Event()
@@ -101,6 +103,30 @@
         self.revision += 1
         self._notify_watches()
 
+    def make_copy(self):
+        return copy.deepcopy(self.objects), self.revision
+
+    def restore(self, saved):
+        """Goes back to a copy, whose revisions are issued again."""
+        objects, self.revision = saved
+        self.objects = copy.deepcopy(objects)
+        self.epoch = (self.epoch or 0) + 1
+        self.history.clear()
+        self.oldest_revision = self.revision + 1
+        self._notify_watches()
+
+    def coordinator(self):
+        """Returns the id of the instance that the lease names, or None."""
+        lease = self.objects.get("filberthub-lease", {}).get("coordinator")
+        return lease["Spec"]["holder"] if lease else None
+
+    def _encode(self, status, document):
+        headers = {"Content-Type": "application/json"}
+        if self.epoch is not None:
+            headers["Store-Era"] = str(self.epoch)
+        return http1.encode_answer(status, headers,
+                                   json.dumps(document).encode())
+
     def _append_history(self, kind, stored_object, deleted):
         self.history.append(
             (self.revision, kind, copy.deepcopy(stored_object), deleted))
@@ -122,7 +148,7 @@
                     return
                 if fault == "busy":
                     status = self.random.choice([503, 429])
-                    writer.write(http1.encode_json(status, {}))
+                    writer.write(self._encode(status, {}))
                     continue
                 await asyncio.sleep(self.delay)
                 if request.method != "GET" \
@@ -148,8 +174,8 @@
         parts = path.split("/")[3:]
         if len(parts) == 2:
             stored_object = self.objects.get(parts[0], {}).get(parts[1])
-            return http1.encode_json(200, stored_object) if stored_object \
-                else http1.encode_json(404, {})
+            return self._encode(200, stored_object) if stored_object \
+                else self._encode(404, {})
         kind = parts[0]
         if "Watch" in parameters:
             return await self._watch(kind, int(parameters["Watch"]),
@@ -157,23 +183,25 @@
         names = sorted(self.objects.get(kind, {}))
         names = [name for name in names if name > parameters.get("after", "")]
         page = names[:50]
-        return http1.encode_json(200, {
+        return self._encode(200, {
             "items": [self.objects[kind][name] for name in page],
             "HasMore": len(names) > len(page),
             "StoreRevision": self.revision})
 
     async def _watch(self, kind, after, wait_s):
         end = asyncio.get_running_loop().time() + wait_s
+        epoch = self.epoch
         while True:
-            if after < self.oldest_revision - 1:
-                return http1.encode_json(410, {})
+            if after < self.oldest_revision - 1 or after > self.revision \
+                    or epoch != self.epoch:
+                return self._encode(410, {})
             events = [{"Object": stored_object, "Deleted": deleted}
                       for revision, event_kind, stored_object, deleted
                       in self.history
                       if revision > after and event_kind == kind]
             remaining = end - asyncio.get_running_loop().time()
             if events or remaining <= 0:
-                return http1.encode_json(200, {
+                return self._encode(200, {
                     "events": events, "StoreRevision": self.revision})
             try:
                 await asyncio.wait_for(self.changed.wait(), remaining)
@@ -187,11 +215,11 @@
         stored_object = self.objects.get(parts[0], {}).get(name)
         expected_revision = document.get("Metadata", {}).get("Revision")
         if request.method == "POST" and stored_object is not None:
-            return http1.encode_json(409, stored_object)
+            return self._encode(409, stored_object)
         if request.method == "PUT" and stored_object is None:
-            return http1.encode_json(404, {})
+            return self._encode(404, {})
         if expected_revision is not None and \
                 expected_revision != stored_object["Metadata"]["Revision"]:
-            return http1.encode_json(409, stored_object)
+            return self._encode(409, stored_object)
         self.put(parts[0], name, document["Spec"])
-        return http1.encode_json(200, self.objects[parts[0]][name])
+        return self._encode(200, self.objects[parts[0]][name])
