Correct two findings of clang-tidy in a test of server health

An integer division in a floating point bound, and a vector filled without reserving its size. The bound is the same. Tested: ServerHealth, KeyLoad and KeyCoordinator (17 tests).

--- a/test/routing/server_health_test.cpp
+++ b/test/routing/server_health_test.cpp
@@ -75,6 +75,7 @@
 TEST(ServerHealth, GivesKeysBackAlthoughNoServerIsOverloaded)
 {
     std::vector<key_server> servers;
+    servers.reserve(16);
     for (int number = 0; number < 16; ++number) {
         servers.push_back(
             {{backend_server_id("s" + std::to_string(number)), 1}, 2, true});
@@ -92,7 +93,7 @@
     key_number keys = 0;
     for (const key_range& range : next->ranges)
         keys += range.owner.id == server ? range.last - range.first + 1 : 0;
-    EXPECT_GT(keys, key_count / 16 * 0.9);
+    EXPECT_GT(keys, key_count * 0.9 / 16);
 }
 
 } // namespace
