Tell from the lease whether others may have coordinated before a restore

The merge of quotas and store epochs needs it: a coordinator of the first term allocates quota shares at once, which is safe only if no other process can have held the lease in seconds that a restore has lost.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -131,6 +131,12 @@
     {
         return unseen_grants_end_;
     }
+    // Whether another process may have held the lease in the seconds that a
+    // restore of the store has lost.
+    bool others_unseen() const
+    {
+        return others_unseen_;
+    }
     // Whether earlier coordinators may have granted keys although the store has
     // no table, as a restore has lost it.
     bool table_may_be_lost() const
