Do not spread a Retry-After that is known exactly

Cause: the spread of Retry-After applied to every rejection, also to the time for which the owner of a key wants no requests and to that of a quota. A caller that came back earlier would only be rejected again.

--- a/include/filberthub/routing/request_rules.hpp
+++ b/include/filberthub/routing/request_rules.hpp
@@ -53,6 +53,9 @@
     int status = 503;
     // Set if the request has not run and the caller may send it again.
     std::optional<milliseconds> retry_after;
+    // Whether the time is known: a caller that comes back earlier is rejected
+    // again. An expected time is spread over the period around it.
+    bool exact_wait = false;
 };
 
 // Minimum remaining time for which another attempt is made.
--- a/src/router/caller_accounts.cpp
+++ b/src/router/caller_accounts.cpp
@@ -93,7 +93,7 @@
     const milliseconds spread(std::llround(
         static_cast<double>(wait.count()) * view_.uniform_random()));
     cancel_attempt(*request, now);
-    fail(request, {429, wait + spread}, "over the quota of the account");
+    fail(request, {429, wait + spread, true}, "over the quota of the account");
     return false;
 }
 
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -242,9 +242,10 @@
     }
     const milliseconds rest = owner_rest(*request, now);
     if (!may_wait_for_owner(*request, now + rest)) {
-        fail(request,
-            failure_of(request->state, false,
-                rest.count() > 0 ? rest : retry_delay_after_loss),
+        failure_answer answer = failure_of(request->state, false,
+            rest.count() > 0 ? rest : retry_delay_after_loss);
+        answer.exact_wait = rest.count() > 0;
+        fail(request, answer,
             rest.count() > 0 ? "the owner of the key wants no requests"
                              : owner_problem(*request, now));
         return;
--- a/src/router/caller_results.cpp
+++ b/src/router/caller_results.cpp
@@ -248,15 +248,14 @@
     if (answer.retry_after) {
         // A request that fails before its route is known has no deadline yet.
         const milliseconds wait = *answer.retry_after;
-        const bool has_deadline =
-            request->state.answer_deadline != time_point();
+        const bool is_spread = !answer.exact_wait &&
+                               request->state.answer_deadline != time_point();
         response.headers.set(header::retry_after,
-            format_seconds(
-                has_deadline
-                    ? spread_retry(wait,
-                          elapsed(clock_(), request->state.answer_deadline),
-                          view_.uniform_random())
-                    : wait));
+            format_seconds(is_spread ? spread_retry(wait,
+                                           elapsed(clock_(),
+                                               request->state.answer_deadline),
+                                           view_.uniform_random())
+                                     : wait));
     }
     if (answer.status == 401)
         response.headers.set("WWW-Authenticate", "Bearer");
