Let gates use the slots of requests in transit, and judge overload by slots

A gate counts a slot until the answer has reached its instance, so that slots were idle while answers were on their way; a queue of five requests counted as overload whatever the slots; and a group queued requests beside free slots, because an idle slow server had the best score and was then rejected for being slow.

Now a gate derives from the load reports how many granted requests are in transit, overload begins at two requests for each slot (as before for servers with two slots), and servers that are too slow are left out before the choice.

--- a/include/filberthub/routing/slot_gate.hpp
+++ b/include/filberthub/routing/slot_gate.hpp
@@ -132,6 +132,10 @@
         // Requests at the server that this gate did not grant, as of the last
         // report.
         double requests_of_others = 0;
+        // Granted requests that the server did not have when it reported: they
+        // were on their way to it, or their answers were on their way back.
+        // Smoothed.
+        double in_transit = 0;
         unsigned consecutive_failures = 0;
         time_point avoid_until;
         // Times of recent grants while the server is cold.
@@ -148,6 +152,9 @@
     };
 
     double expected_ms(const observed_server& server, time_point now) const;
+    // Number of granted requests that occupy no slot of their server.
+    static double requests_in_transit(
+        const server_state& state, const observed_server& server);
     // Whether the server can take a request, with `extra` more than its slots.
     bool has_slot(
         const observed_server& server, unsigned extra, time_point now) const;
@@ -184,8 +191,11 @@
     double wait_with_overtaking_ms(
         const slot_request& request, double wait_ms, time_point now) const;
     // Refuses the requests of a queue that cannot be served in time.
-    void refuse_late_requests(std::vector<slot_request>& queue, time_point now,
-        std::vector<gate_decision>& decisions) const;
+    void refuse_late_requests(std::vector<slot_request>& queue, bool overload,
+        time_point now, std::vector<gate_decision>& decisions) const;
+    // Whether not all queued requests can meet their target time.
+    static bool is_overloaded(
+        const std::vector<slot_request>& queue, const server_list& servers);
 
     const server_pool& pool_;
     cold_bound bound_;
--- a/src/routing/slot_gate.cpp
+++ b/src/routing/slot_gate.cpp
@@ -10,15 +10,18 @@
 // 1, because work times vary and a request that is slightly late on average may
 // still be answered in time.
 constexpr double required_work_fraction = 0.8;
-// Queue length above which not all requests can meet their target time, given
-// that most servers have two slots.
-constexpr std::size_t overload_queue_length = 4;
+// Queued requests for each slot above which not all requests can meet their
+// target time. A bound that ignores the slots made the last requests of a large
+// group wait until their deadline.
+constexpr std::size_t overload_requests_per_slot = 2;
 // Factor on the expected work in the test for the target time. Work times vary
 // by about half of their mean, and under overload each request is served when
 // it can barely meet its target, so that half would be late without a margin.
 constexpr double target_time_margin = 1.6;
 // Factor on the expected wait of a request that others overtake.
 constexpr double overtaken_wait_factor = 2;
+// Weight of the newest report in the number of requests in transit.
+constexpr double in_transit_smoothing = 0.2;
 constexpr milliseconds initial_avoidance{250};
 constexpr milliseconds max_avoidance{2'000};
 // Bounds on the wait that a refusal suggests.
@@ -184,12 +187,21 @@
     return decisions;
 }
 
+bool slot_gate::is_overloaded(
+    const std::vector<slot_request>& queue, const server_list& servers)
+{
+    std::size_t slots = 0;
+    for (const observed_server* server : servers)
+        slots += server->entry.slots;
+    return queue.size() >
+           overload_requests_per_slot * std::max<std::size_t>(slots, 1);
+}
+
 void slot_gate::refuse_late_requests(std::vector<slot_request>& queue,
-    time_point now, std::vector<gate_decision>& decisions) const
+    bool overload, time_point now, std::vector<gate_decision>& decisions) const
 {
     // If there is no server, requests wait for one to join.
     const double rate = requests_per_ms(queue.front(), now);
-    const bool overload = queue.size() > overload_queue_length;
     double ahead = 0;
     std::erase_if(queue, [&](const slot_request& request) {
         // The queue is sorted in the order of service.
@@ -222,12 +234,12 @@
     const server_list servers = servers_of_group(queue.front());
     while (!queue.empty()) {
         const double work = work_ms(queue.front(), now);
-        const bool overload = queue.size() > overload_queue_length;
+        const bool overload = is_overloaded(queue, servers);
         std::stable_sort(queue.begin(), queue.end(),
             [&](const slot_request& left, const slot_request& right) {
                 return is_served_before(left, right, now, work, overload);
             });
-        refuse_late_requests(queue, now, decisions);
+        refuse_late_requests(queue, overload, now, decisions);
         // Under overload the queue is long and mostly no slot is free.
         if (!has_free_slot(servers, now))
             return;
@@ -268,6 +280,9 @@
         const double total = result.report->running + result.report->waiting;
         state.requests_of_others = std::max(total - state.in_flight, 0.0);
         state.reported_at = now;
+        state.in_transit +=
+            (std::max(state.in_flight - total, 0.0) - state.in_transit) *
+            in_transit_smoothing;
     }
     if (result.outcome == send_outcome::answered) {
         times_.on_answer(state.service, server, result.taken, queued_at_server,
--- a/src/routing/slot_gate_servers.cpp
+++ b/src/routing/slot_gate_servers.cpp
@@ -17,6 +17,9 @@
 // server by this factor, because waiting for the latter takes about as long as
 // its work.
 constexpr double slow_server_factor = 2;
+// Bound of the requests in transit for each slot. Servers queue more than this,
+// should their reports be wrong.
+constexpr unsigned max_transit_per_slot = 3;
 // Time after the answer deadline of a request at which its slot is freed if the
 // instance that sent it has failed and does not report.
 constexpr milliseconds report_grace{150};
@@ -69,7 +72,17 @@
     const double requests_of_others =
         state.requests_of_others * std::exp(-age / report_decay_ms);
     return state.in_flight + std::floor(requests_of_others) <
-           static_cast<double>(server.entry.slots + extra);
+           static_cast<double>(server.entry.slots + extra) +
+               requests_in_transit(state, server);
+}
+
+// A slot of the server is free while a large answer is on its way to a slow
+// instance, but the gate only learns of the end of the request afterwards.
+double slot_gate::requests_in_transit(
+    const server_state& state, const observed_server& server)
+{
+    return std::round(std::min(state.in_transit,
+        static_cast<double>(max_transit_per_slot * server.entry.slots)));
 }
 
 bool slot_gate::is_not_excluded(
@@ -136,9 +149,12 @@
     if (request.owner) {
         return has_free_slot(servers, now) ? request.owner : std::nullopt;
     }
-    const observed_server* best = nullptr;
-    double best_ms = 0;
-    double best_score = 0;
+    struct candidate
+    {
+        const observed_server* server;
+        double expected_ms;
+    };
+    std::vector<candidate> candidates;
     // Expected time of the fastest server, whether it has a free slot or not.
     double min_expected_ms = 0;
     for (const observed_server* server : servers) {
@@ -153,20 +169,24 @@
             time += time / server->entry.slots;
         if (min_expected_ms <= 0 || time < min_expected_ms)
             min_expected_ms = time;
-        if (!free_now && !has_slot(*server, prefetch, now))
+        if (free_now || has_slot(*server, prefetch, now))
+            candidates.push_back({server, time});
+    }
+    // A server that is currently slow is not used if a faster one will be free
+    // soon. Among the others, by time alone, the slower ones are idle while the
+    // faster ones are full, and interference then hits more requests.
+    const observed_server* best = nullptr;
+    double best_score = 0;
+    for (const candidate& item : candidates) {
+        if (item.expected_ms > min_expected_ms * slow_server_factor)
             continue;
-        // By time alone, the slower servers of a group are idle while the
-        // faster ones are full, and interference then hits more requests.
-        const double score = time * (1 + load(*server));
+        const double score = item.expected_ms * (1 + load(*item.server));
         if (best == nullptr || score < best_score) {
-            best = server;
-            best_ms = time;
+            best = item.server;
             best_score = score;
         }
     }
-    // A server that is currently slow is not used if a faster one will be free
-    // soon.
-    if (best == nullptr || best_ms > min_expected_ms * slow_server_factor)
+    if (best == nullptr)
         return std::nullopt;
     return best->entry.id;
 }
@@ -187,7 +207,9 @@
             state.cold_sends.pop_front();
     }
     const bool queued_at_server =
-        known != nullptr && state.in_flight > known->entry.slots;
+        known != nullptr &&
+        state.in_flight >
+            known->entry.slots + requests_in_transit(state, *known);
     running_[request.id] = {
         server, request.answer_deadline + report_grace, queued_at_server};
     return {request.id, slot_decision::granted, server, milliseconds(0)};
