--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -69,12 +69,15 @@
         self.tokens = []
         # Arrival, and end of the run if it ended, by request id.
         self.runs = []
+        self.state = "ready"
+        # Answers to requests and orders.
+        self.answers = 0
 
     def entry(self):
         host, port = self.address
         return {"Service": self.service, "Address": f"{host}:{port}",
                 "Zone": ZONE, "Version": "v1", "Capacity": self.slots,
-                "State": "ready", "WarmupLeftMs": 0, "Sequence": 0,
+                "State": self.state, "WarmupLeftMs": 0, "Sequence": 0,
                 "born": self.born}
 
     async def start(self):
@@ -86,13 +89,18 @@
                 answer = await self._handle(request, reader)
                 if answer is None:
                     return
-                writer.write(answer)
+                writer.write(self.spoil(request, answer))
                 await writer.drain()
+                self.answers += 1
         except (OSError, ValueError, asyncio.IncompleteReadError):
             pass
         finally:
             writer.close()
 
+    def spoil(self, request, answer):
+        """Returns the answer as it is sent."""
+        return answer
+
     def _held(self, key):
         now = self.run.record.now()
         return any(first <= key <= last and now < end
@@ -352,7 +360,8 @@
         self.routers = []
         self._beats = None
 
-    async def start(self, routes, services, routers, servers, limits=None):
+    async def start(self, routes, services, routers, servers, limits=None,
+                    server_type=Server):
         if not PROGRAM.exists():
             raise CannotRun(f"{PROGRAM.name} is not built")
         self.routers = [Router(self, n + 1) for n in range(routers)]
@@ -361,8 +370,8 @@
                                     router.name)
         for name, work_s in servers:
             number = len(self.servers)
-            server = Server(self, name, self.ports["servers"] + number,
-                            f"i-{name}-{number}", work_s)
+            server = server_type(self, name, self.ports["servers"] + number,
+                                 f"i-{name}-{number}", work_s)
             self.servers.append(server)
             await server.start()
         self.version = 0
@@ -439,6 +448,12 @@
                 return await play(run)
         finally:
             await run.stop()
+            others = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in others:
+                task.cancel()
+            await asyncio.gather(*others, return_exceptions=True)
+            # Lets the event loop end the connections.
+            await asyncio.sleep(0.1)
     try:
         breaches = asyncio.run(all_of_it())
     except (CannotRun, TimeoutError, OSError) as failure:
