--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -259,19 +259,22 @@
         # By request id: status, or None if the connection ended without an
         # answer; a request whose caller gave up is not in it.
         self.outcomes = {}
+        # Time of sending by request id, also if no connection could be made.
+        self.sent = {}
 
     async def play(self):
         count = 0
         connection = None
         while True:
+            count += 1
+            number = f"c{self.number}-{count}"
+            self.sent[number] = self.run.record.now()
             try:
                 if connection is None:
                     connection = await asyncio.open_connection(
                         *self.router.callers)
                     served = 0
                 reader, writer = connection
-                count += 1
-                number = f"c{self.number}-{count}"
                 writer.write(http1.encode_request("GET", self.target, {
                     "Host": HOST, "X-Filberthub-Request-Id": number,
                     "X-Filberthub-Deadline-Ms": self.deadline_ms,
