--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -31,9 +31,9 @@
 HOST = "maps.example"
 ZONE = "se-mitt-a"
 # The bounds of the small deployment of SYSTEM.md that the router reads.
-BOUNDS = ["DrainMs=2000", "GraceS=6", "HoldMaxMs=10000",
-          "RetryBudgetRatio=0.2", "RetryWindowS=10", "RetryAllowance=135",
-          "WarmupFactor=1.5", "WarmupTolerance=5"]
+BOUNDS = {"DrainMs": 2000, "GraceS": 6, "HoldMaxMs": 10000,
+          "RetryBudgetRatio": 0.2, "RetryWindowS": 10, "RetryAllowance": 135,
+          "WarmupFactor": 1.5, "WarmupTolerance": 5}
 
 
 class CannotRun(Exception):
