Check names where they enter, so that an odd one costs its entry only

What callers saw: another writer left an entry whose name ends with a line feed among those of the servers.

Cause: any JSON string was taken for the name of an object and for the id of a server. The id is put into a header field much later, in the callback of a socket, where the last check of a message throws and nothing catches it.

Ruled out: the missing fields of the entry. The regression test uses an entry with all fields.

Change: strong_name holds 1 to 256 bytes of printable ASCII or nothing. Objects with other names are left out of lists and events, logged once and counted in filberthub_rejected_inputs_total. Names in entries, in the configuration and in messages of instances are checked where they are decoded. Related: the name at the end of a page is percent-encoded, and one of any length can be passed over, so that a process that starts beside it becomes ready; an ownership table that cannot be read no longer keeps the keys of all services without owners; a decision of a gate with an odd server is rejected as a whole and not applied in part.

The checks of adapter_test.cpp are unchanged but for the type of the id.

--- a/include/filberthub/base/strong.hpp
+++ b/include/filberthub/base/strong.hpp
@@ -5,12 +5,20 @@
 //
 //     using service_id = strong_name<struct service_tag>;
 //     service_id id("kartlas");
+//
+// Text from outside the process is checked where it becomes a name:
+//
+//     if (const auto id = service_id::from(text))
+//         use(*id);
 
 #ifndef FILBERTHUB_BASE_STRONG_HPP
 #define FILBERTHUB_BASE_STRONG_HPP
 
+#include <filberthub/base/name_text.hpp>
+
 #include <compare>
 #include <functional>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -18,12 +26,30 @@
 namespace filberthub {
 
 // A string that identifies entities of one kind. Ordered and hashable.
-template <class Tag>
+// Guarantees that its text is empty, which stands for no entity, or fits
+// `is_name_text` with `MaxBytes`: it can be put into a header field, a JSON
+// document or a log line as it is.
+template <class Tag, std::size_t MaxBytes = max_name_bytes>
 class strong_name
 {
 public:
     strong_name() = default;
-    explicit strong_name(std::string value) : value_(std::move(value)) {}
+    // Throws `error` of kind `bad_request` if the text is not a name.
+    explicit strong_name(std::string value) : value_(std::move(value))
+    {
+        check_name_text(value_, MaxBytes);
+    }
+
+    // Returns the name with this text, or nothing if the text is empty or not a
+    // name.
+    static std::optional<strong_name> from(std::string_view text)
+    {
+        if (!is_name_text(text, MaxBytes))
+            return std::nullopt;
+        strong_name result;
+        result.value_ = std::string(text);
+        return result;
+    }
 
     const std::string& value() const
     {
@@ -72,8 +98,9 @@
     Rep value_{};
 };
 
-template <class Tag>
-std::ostream& operator<<(std::ostream& stream, const strong_name<Tag>& name)
+template <class Tag, std::size_t MaxBytes>
+std::ostream& operator<<(
+    std::ostream& stream, const strong_name<Tag, MaxBytes>& name)
 {
     return stream << name.value();
 }
@@ -87,10 +114,11 @@
 
 } // namespace filberthub
 
-template <class Tag>
-struct std::hash<filberthub::strong_name<Tag>>
+template <class Tag, std::size_t MaxBytes>
+struct std::hash<filberthub::strong_name<Tag, MaxBytes>>
 {
-    std::size_t operator()(const filberthub::strong_name<Tag>& name) const
+    std::size_t operator()(
+        const filberthub::strong_name<Tag, MaxBytes>& name) const
     {
         return std::hash<std::string>()(name.value());
     }
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -1,5 +1,6 @@
 #include "router/caller_request.hpp"
 
+#include <filberthub/membership/rendezvous.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
@@ -165,10 +166,12 @@
     start_attempt(request);
 }
 
-// The requests of a route to a service have a mean duration of their own.
+// The requests of a route to a service have a mean duration of their own. The
+// name of a route may be any text, so that it is not a part of the id.
 service_id caller_service::route_times_id(const caller_request& request)
 {
-    return service_id(request.service.value() + "/" + request.route->name);
+    return service_id(std::to_string(
+        rendezvous_weight(request.service.value(), request.route->name)));
 }
 
 http_request caller_service::make_forwarded_request(
--- a/src/router/deployment_view.cpp
+++ b/src/router/deployment_view.cpp
@@ -3,6 +3,7 @@
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/log.hpp>
+#include <filberthub/telemetry/rejected_input.hpp>
 
 #include <platform/object_codec.hpp>
 
@@ -119,12 +120,34 @@
         refresh_servers(now);
         return;
     }
-    if (const auto name =
+    if (const auto server =
             platform_api::object_name(object_kind::server, object.key))
-        apply_server(*name, object, now);
+        apply_named<backend_server_id>(
+            *server, [&](const backend_server_id& id) {
+                apply_server(id, object, now);
+            });
     else if (const auto domain =
                  platform_api::object_name(object_kind::evacuation, object.key))
-        apply_evacuation(*domain, object, now);
+        apply_named<failure_domain_id>(
+            *domain, [&](const failure_domain_id& id) {
+                apply_evacuation(id, object, now);
+            });
+}
+
+// Calls the function with the name of an object, unless it is not a name. The
+// store session drops such objects, but an instance of an earlier release may
+// pass them on.
+template <class Name, class Function>
+void deployment_view::apply_named(
+    const std::string& text, const Function& function)
+{
+    if (const auto name = Name::from(text)) {
+        function(*name);
+        return;
+    }
+    count_rejected(rejected_input::object_name);
+    log_event(log_level::warn, "object with an unusable name ignored",
+        {{"name", shorten(text)}});
 }
 
 // Applies an object that the coordinator has published. A malformed one leaves
@@ -137,6 +160,7 @@
         else
             apply_served(object);
     } catch (const std::exception& failure) {
+        count_rejected(rejected_input::published_object);
         log_event(log_level::warn, "published object is malformed",
             {{"key", object.key}, {log_key::error, shorten(failure.what())}});
     }
@@ -159,8 +183,9 @@
                 {"store_version", object.version.value()}});
         routes_ = std::make_shared<const route_table>(std::move(config));
     } catch (const error& failure) {
+        count_rejected(rejected_input::configuration);
         log_event(log_level::error, "configuration is not valid",
-            {{log_key::error, failure.what()},
+            {{log_key::error, shorten(failure.what())},
                 {"store_version", object.version.value()}});
     }
 }
@@ -175,9 +200,9 @@
 }
 
 void deployment_view::apply_server(
-    const std::string& name, const versioned_object& object, time_point now)
+    const backend_server_id& id, const versioned_object& object, time_point now)
 {
-    const backend_server_id id(name);
+    const std::string& name = id.value();
     servers_known_ = true;
     if (!object.value) {
         const auto found = entries_.find(id);
@@ -204,7 +229,7 @@
     }
     deferred_removals_.erase(id);
     try {
-        server_entry entry = platform_api::decode_server(name, *object.value);
+        server_entry entry = platform_api::decode_server(id, *object.value);
         entry.draining = note_leaving(entry, object.version, now);
         // Each server has one at the start and one for each step of its
         // warm-up.
@@ -225,23 +250,23 @@
         if (changes_missed_since_)
             servers_.set_unusable_since(id, *changes_missed_since_);
     } catch (const error& failure) {
+        count_rejected(rejected_input::server_entry);
         log_event(log_level::warn, "server entry is not valid",
-            {{log_key::server, shorten(name)},
+            {{log_key::server, name},
                 {log_key::error, shorten(failure.what())}});
         entries_.erase(id);
         servers_.remove(id);
     }
 }
 
-void deployment_view::apply_evacuation(
-    const std::string& name, const versioned_object& object, time_point now)
+void deployment_view::apply_evacuation(const failure_domain_id& domain,
+    const versioned_object& object, time_point now)
 {
-    const failure_domain_id domain(name);
     const bool is_evacuated = object.value.has_value();
     log_event(log_level::info,
         is_evacuated ? "failure domain out of service"
                      : "failure domain back in service",
-        {{log_key::failure_domain, name},
+        {{log_key::failure_domain, domain.value()},
             {"store_version", object.version.value()}});
     servers_.set_evacuated(domain, is_evacuated, now);
     if (is_evacuated) {
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -196,9 +196,11 @@
     bool note_leaving(
         const server_entry& entry, object_version version, time_point now);
     void apply_config(const versioned_object& object);
-    void apply_server(const std::string& name, const versioned_object& object,
-        time_point now);
-    void apply_evacuation(const std::string& name,
+    template <class Name, class Function>
+    static void apply_named(const std::string& text, const Function& function);
+    void apply_server(const backend_server_id& id,
+        const versioned_object& object, time_point now);
+    void apply_evacuation(const failure_domain_id& domain,
         const versioned_object& object, time_point now);
     void apply_published(const versioned_object& object);
     void apply_members(const versioned_object& object);
--- a/src/router/feed_messages.cpp
+++ b/src/router/feed_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "router/peer_messages.hpp"
 
+#include <filberthub/telemetry/rejected_input.hpp>
+
 #include <QtCore/QByteArray>
 
 #include <algorithm>
@@ -80,6 +82,17 @@
     return result;
 }
 
+// Returns a name in a message, or nothing if it is not one. The rest of the
+// message is used without it.
+template <class Name>
+std::optional<Name> read_name(std::string_view text)
+{
+    auto name = Name::from(text);
+    if (!name)
+        count_rejected(rejected_input::peer_message);
+    return name;
+}
+
 json encode_key_counts(
     const std::map<service_id, std::map<key_number, std::uint32_t>>& counts)
 {
@@ -97,8 +110,11 @@
     const json& document)
 {
     std::map<service_id, std::map<key_number, std::uint32_t>> result;
-    for (const auto& [service, rows] : document.items()) {
-        auto& keys = result[service_id(service)];
+    for (const auto& [name, rows] : document.items()) {
+        const auto service = read_name<service_id>(name);
+        if (!service)
+            continue;
+        auto& keys = result[*service];
         for (const json& row : rows)
             keys[row.at(0).get<key_number>()] += row.at(1).get<std::uint32_t>();
     }
@@ -131,21 +147,25 @@
 {
     load_counts counts;
     counts.requests = decode_key_counts(document.at("requests"));
-    for (const auto& [server, slowdown] : document.at("paces").items())
-        counts.slowdowns[backend_server_id(server)] = slowdown.get<double>();
+    for (const auto& [name, slowdown] : document.at("paces").items()) {
+        if (const auto server = read_name<backend_server_id>(name))
+            counts.slowdowns[*server] = slowdown.get<double>();
+    }
     // An instance of an earlier release does not send them.
     if (document.contains("leaving")) {
-        for (const auto& [server, started] : document.at("leaving").items()) {
-            counts.leaving[backend_server_id(server)] =
-                started.get<std::uint64_t>();
+        for (const auto& [name, started] : document.at("leaving").items()) {
+            if (const auto server = read_name<backend_server_id>(name))
+                counts.leaving[*server] = started.get<std::uint64_t>();
         }
     }
     if (document.contains("quota"))
         counts.quota = decode_quota(document.at("quota"));
     if (document.contains("results")) {
-        for (const auto& [server, row] : document.at("results").items()) {
-            counts.results[backend_server_id(server)] = {
+        for (const auto& [name, row] : document.at("results").items()) {
+            const result_counts results{
                 row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>()};
+            if (const auto server = read_name<backend_server_id>(name))
+                counts.results[*server] = results;
         }
     }
     if (document.contains("work"))
@@ -290,8 +310,10 @@
     // A coordinator of an earlier release does not send them.
     if (!document.contains("standbys"))
         return result;
-    for (const json& id : document.at("standbys"))
-        result.emplace_back(id.get<std::string>());
+    for (const json& id : document.at("standbys")) {
+        if (auto name = read_name<instance_id>(id.get<std::string>()))
+            result.push_back(*std::move(name));
+    }
     return result;
 }
 
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -7,6 +7,7 @@
 #include <filberthub/base/json_text.hpp>
 #include <filberthub/routing/standbys.hpp>
 #include <filberthub/telemetry/log.hpp>
+#include <filberthub/telemetry/rejected_input.hpp>
 
 #include <algorithm>
 
@@ -72,6 +73,7 @@
         polls_.push_back(std::move(poll));
     } catch (const std::exception& failure) {
         const std::string message = shorten(failure.what());
+        count_rejected(rejected_input::peer_message);
         log_event(log_level::warn, "malformed poll from an instance",
             {{log_key::error, message}});
         exchange->respond(text_response(400, message));
@@ -301,6 +303,7 @@
         if (quota && on_quota_)
             on_quota_(*quota, poll_sent_);
     } catch (const std::exception& failure) {
+        count_rejected(rejected_input::peer_message);
         log_event(log_level::warn, "malformed reply from the coordinator",
             {{log_key::error, shorten(failure.what())}});
         poll_timer_.start(retry_delay);
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -6,6 +6,7 @@
 #include <filberthub/base/json_text.hpp>
 #include <filberthub/membership/rendezvous.hpp>
 #include <filberthub/telemetry/log.hpp>
+#include <filberthub/telemetry/rejected_input.hpp>
 
 #include <QtNetwork/QNetworkDatagram>
 
@@ -195,6 +196,7 @@
         try {
             on_message(decode_datagram(bytes.begin(), bytes.end()), sender);
         } catch (const std::exception& failure) {
+            count_rejected(rejected_input::peer_message);
             log_event(log_level::warn, "malformed datagram on the peer port",
                 {{log_key::peer, to_string(sender)},
                     {log_key::error, shorten(failure.what())}});
@@ -227,7 +229,7 @@
 {
     const auto number = message.at(1).get<std::uint64_t>();
     const auto decision = read_enum(message.at(2), slot_decision::refused);
-    const auto server = message.at(3).get<std::string>();
+    const backend_server_id server(message.at(3).get<std::string>());
     const milliseconds wait = read_milliseconds(message.at(4));
     const auto found = pending_.find(number);
     if (found == pending_.end() || found->second.question.host != sender) {
@@ -263,8 +265,7 @@
     request.granted = true;
     if (!told_wait)
         note_wait(request.request, milliseconds(0), now);
-    on_reply({gate_reply::kind::granted, backend_server_id(server), wait,
-        told_wait});
+    on_reply({gate_reply::kind::granted, server, wait, told_wait});
 }
 
 void gate_service::note_wait(
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -94,7 +94,8 @@
     grants.grant_duration =
         std::min(grants.grant_duration, settings_.bounds.grant_duration_limit);
     for (const auto& [id, rule] : routes->config().services) {
-        if (!rule.keyed || services_.contains(id))
+        if (!rule.keyed || services_.contains(id) ||
+            unreadable_tables_.contains(id))
             continue;
         auto& service = services_.try_emplace(id, grants).first->second;
         service.committed_at = now;
@@ -124,11 +125,11 @@
     note_turn(now);
     if (now >= lease_end_)
         return;
-    if (!tables_read_) {
-        if (!table_read_open_ && now >= next_table_read_)
-            read_tables();
+    const bool needs_read = !tables_read_ || !unreadable_tables_.empty();
+    if (needs_read && !table_read_open_ && now >= next_table_read_)
+        read_tables();
+    if (!tables_read_)
         return;
-    }
     start_services(now);
     for (auto& [id, service] : services_) {
         replace_stale_incarnations(service);
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -90,6 +90,7 @@
     };
 
     void read_tables();
+    void read_table(const versioned_object& object);
     void start_services(time_point now);
     void plan(const service_id& id, service_ownership& service, time_point now);
     // Logs keys that no server can serve alone.
@@ -132,6 +133,8 @@
     std::map<service_id, service_ownership> services_;
     // Tables read at the start, with their revision in the store.
     std::map<service_id, std::pair<key_table, std::uint64_t>> stored_tables_;
+    // Services whose stored tables could not be read. They are read again.
+    std::set<service_id> unreadable_tables_;
     bool tables_read_ = false;
     bool table_read_open_ = false;
     time_point next_table_read_;
--- a/src/router/ownership_tables.cpp
+++ b/src/router/ownership_tables.cpp
@@ -3,7 +3,9 @@
 
 #include "router/ownership_controller.hpp"
 
+#include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/log.hpp>
+#include <filberthub/telemetry/rejected_input.hpp>
 
 namespace filberthub {
 namespace {
@@ -34,21 +36,35 @@
             try {
                 const auto page = platform_api::decode_list(
                     object_kind::key_ownership, body, store_.epoch());
-                for (const versioned_object& object : page.objects) {
-                    const auto name = platform_api::object_name(
-                        object_kind::key_ownership, object.key);
-                    stored_tables_[service_id(*name)] = {
-                        key_table::from_text(*object.value),
-                        platform_api::store_revision_of(object.version)};
-                }
+                unreadable_tables_.clear();
+                for (const versioned_object& object : page.objects)
+                    read_table(object);
                 tables_read_ = true;
             } catch (const error& failure) {
                 log_event(log_level::error, "ownership tables are malformed",
-                    {{log_key::error, failure.what()}});
+                    {{log_key::error, shorten(failure.what())}});
             }
         });
 }
 
+// A table that cannot be read keeps only the keys of its own service from being
+// granted: who holds them is not known.
+void ownership_controller::read_table(const versioned_object& object)
+{
+    const service_id id(
+        *platform_api::object_name(object_kind::key_ownership, object.key));
+    try {
+        stored_tables_[id] = {key_table::from_text(*object.value),
+            platform_api::store_revision_of(object.version)};
+    } catch (const error& failure) {
+        unreadable_tables_.insert(id);
+        count_rejected(rejected_input::ownership_table);
+        log_event(log_level::error, "ownership table is malformed",
+            {{log_key::service, id.value()},
+                {log_key::error, shorten(failure.what())}});
+    }
+}
+
 void ownership_controller::write(const service_id& id, const table_write& table)
 {
     const std::string& name = id.value();
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -7,6 +7,7 @@
 
 #include <filberthub/routing/descriptor_limits.hpp>
 #include <filberthub/telemetry/log.hpp>
+#include <filberthub/telemetry/rejected_input.hpp>
 
 #include <sys/resource.h>
 
@@ -112,6 +113,7 @@
           budget(std::make_shared<memory_budget>(
               memory_limits::of_process(settings.memory_bytes))),
           memory(metrics, *budget),
+          rejected(metrics),
           connections(descriptor_limits::of_process(descriptors_of(settings))),
           callers(settings, view, gates, metrics, budget, boot_time_now),
           role(
@@ -170,6 +172,7 @@
             next_sweep = now + sweep_interval;
             callers.sweep();
             memory.update();
+            rejected.update();
         }
         if (now >= next_rotate) {
             next_rotate = now + metric_window;
@@ -223,6 +226,7 @@
     gate_service gates;
     std::shared_ptr<memory_budget> budget;
     memory_metrics memory;
+    rejected_input_metrics rejected;
     descriptor_limits connections;
     caller_service callers;
     fleet_role role;
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -1,6 +1,7 @@
 #include "router/store_session.hpp"
 
 #include <filberthub/telemetry/log.hpp>
+#include <filberthub/telemetry/rejected_input.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -201,6 +202,8 @@
     platform_api::store_page page =
         listing ? platform_api::decode_list(kind_, body, epochs_.current())
                 : platform_api::decode_events(kind_, body, epochs_.current());
+    if (page.unreadable_objects > 0)
+        count_rejected(rejected_input::object_name, page.unreadable_objects);
     if (page.unreadable_objects > 0 && !unreadable_logged_) {
         log_event(log_level::warn, "objects of the store cannot be read",
             {{"kind", platform_api::kind_name(kind_)},
--- a/src/wire/fields.hpp
+++ b/src/wire/fields.hpp
@@ -6,6 +6,7 @@
 
 #include "wire/generated/peer.capnp.h"
 
+#include <filberthub/base/error.hpp>
 #include <filberthub/membership/messages.hpp>
 #include <filberthub/wire/message.hpp>
 
@@ -19,8 +20,8 @@
     return {value.c_str(), value.size()};
 }
 
-template <class Tag>
-capnp::Text::Reader text(const strong_name<Tag>& value)
+template <class Tag, std::size_t MaxBytes>
+capnp::Text::Reader text(const strong_name<Tag, MaxBytes>& value)
 {
     return text(value.value());
 }
@@ -33,7 +34,13 @@
 template <class Name>
 Name read_name(capnp::Text::Reader value)
 {
-    return Name(read_string(value));
+    if (value.size() == 0)
+        return Name();
+    if (auto name = Name::from({value.begin(), value.size()}))
+        return *std::move(name);
+    throw error(error_kind::bad_peer_message,
+        "a name of " + std::to_string(value.size()) +
+            " bytes in the message is not valid");
 }
 
 inline capnp::Data::Reader data(const std::string& value)
--- a/test/platform_adapter/adapter_test.cpp
+++ b/test/platform_adapter/adapter_test.cpp
@@ -173,7 +173,7 @@
 // an incarnation that is not told from the next by its start.
 TEST(decode_server_test, DecodesAnEntry)
 {
-    const server_entry entry = decode_server("i-1",
+    const server_entry entry = decode_server(backend_server_id("i-1"),
         R"({"Service":"x","Address":"10.0.0.9:8080","Zone":"a","Version":"v1",
             "Capacity":2,"State":"draining","WarmupLeftMs":1500,"Sequence":4,
             "born":1769435630198})");
@@ -199,7 +199,8 @@
                 "State":"resting"})",
             R"({"Service":5,"Address":"10.0.0.9:80","Zone":"a","Capacity":2,
                 "State":"ready"})"})
-        EXPECT_THROW(decode_server("i-1", text), error) << text;
+        EXPECT_THROW(decode_server(backend_server_id("i-1"), text), error)
+            << text;
 }
 
 // Guards against a server that nobody can connect to, and against times whose
@@ -211,14 +212,18 @@
                R"(","Zone":"a","Capacity":2,"State":"ready","WarmupLeftMs":)" +
                cold + "}";
     };
-    EXPECT_NO_THROW(decode_server("i-1", entry("10.0.0.9:80", "0")));
+    EXPECT_NO_THROW(
+        decode_server(backend_server_id("i-1"), entry("10.0.0.9:80", "0")));
     for (const char* address : {"10.0.0.9:0", "10.0.0.9:70000", "10.0.0.9:-1",
              "10.0.0.9:99999999999999999999", "x:80", ":80", "10.0.0:80"})
-        EXPECT_THROW(decode_server("i-1", entry(address, "0")), error)
+        EXPECT_THROW(
+            decode_server(backend_server_id("i-1"), entry(address, "0")), error)
             << address;
     for (const char* cold :
         {"1e300", "1e400", "9223372036854775808", "-1", "18446744073709551616"})
-        EXPECT_THROW(decode_server("i-1", entry("10.0.0.9:80", cold)), error)
+        EXPECT_THROW(
+            decode_server(backend_server_id("i-1"), entry("10.0.0.9:80", cold)),
+            error)
             << cold;
 }
 
@@ -254,9 +259,12 @@
         const store_page page = decode_list(object_kind::server,
             R"({"items":[)" + objects + R"(],"StoreRevision":9})");
         ASSERT_EQ(page.objects.size(), 2U) << odd.substr(0, 60);
-        EXPECT_THROW(decode_server("odd", *page.objects[0].value), error)
+        EXPECT_THROW(
+            decode_server(backend_server_id("odd"), *page.objects[0].value),
+            error)
             << odd.substr(0, 60);
-        EXPECT_NO_THROW(decode_server("good", *page.objects[1].value));
+        EXPECT_NO_THROW(
+            decode_server(backend_server_id("good"), *page.objects[1].value));
     }
 }
 
@@ -295,6 +303,70 @@
     }
 }
 
+// Names that no server of the platform has.
+std::vector<std::string> odd_names()
+{
+    return {"", " i-1", "i-1 ", "i-1\\n", "i-1\\r\\nA: b", "\\u0000", "i\\t1",
+        "\\u007f", "\xc3\xa5", "\\ud83d\\ude00", std::string(257, 'i')};
+}
+
+// Guards against a name that splits a header field, and against one that hides
+// the other servers.
+TEST(decode_list_test, LeavesOutObjectsWithOddNames)
+{
+    for (const std::string& name : odd_names()) {
+        const std::string odd =
+            R"({"Metadata":{"Name":")" + name + R"(","Revision":6},"Spec":{}})";
+        const store_page page = decode_list(object_kind::server,
+            R"({"items":[{"Metadata":{"Name":"b","Revision":2},"Spec":{}},)" +
+                odd + R"(],"StoreRevision":9})");
+        EXPECT_EQ(page.unreadable_objects, 1U) << name;
+        ASSERT_EQ(page.objects.size(), 1U) << name;
+        EXPECT_EQ(page.objects[0].key, "server/b");
+        // A page of nothing else is not an error, which would end the list.
+        EXPECT_NO_THROW(decode_list(object_kind::server,
+            R"({"items":[)" + odd + R"(],"StoreRevision":9})"))
+            << name;
+        const store_page events = decode_events(object_kind::server,
+            R"({"events":[{"Object":)" + odd + R"(}],"StoreRevision":9})");
+        EXPECT_TRUE(events.objects.empty()) << name;
+    }
+}
+
+// Guards against a call for the next page that the store rejects or that
+// returns the same page again.
+TEST(list_call_test, EncodesTheNameBeforeThePage)
+{
+    EXPECT_EQ(list_call(object_kind::server, "a b&c=\n\xc3\xa5/").target,
+        "/-/objects/servers?after=a%20b%26c%3D%0A%C3%A5%2F");
+    const std::string name = std::string(255, 'a') + "\xc3\xa5" + "z";
+    const store_page page = decode_list(object_kind::server,
+        R"({"items":[{"Metadata":{"Name":")" + name +
+            R"(","Revision":2}}],"HasMore":true,"StoreRevision":9})");
+    ASSERT_TRUE(page.next);
+    EXPECT_GT(*page.next, name);
+    EXPECT_LT(page.next->size(), name.size() + 4);
+    EXPECT_LT(*page.next, std::string(254, 'a') + "b");
+    EXPECT_EQ(read_call(object_kind::key_ownership, "a b/c").target,
+        "/-/objects/filberthub-keys/a%20b%2Fc");
+}
+
+// Guards against a service or failure domain that is put into a message as it
+// is.
+TEST(decode_server_test, RefusesOddNamesInItsFields)
+{
+    for (const std::string& name : odd_names()) {
+        for (const char* field : {"Service", "Zone"}) {
+            json entry = {{"Service", "x"}, {"Address", "10.0.0.9:80"},
+                {"Zone", "a"}, {"Capacity", 2}, {"State", "ready"}};
+            entry[field] = json::parse('"' + name + '"');
+            EXPECT_THROW(
+                decode_server(backend_server_id("i-1"), entry.dump()), error)
+                << field << " " << name;
+        }
+    }
+}
+
 // Guards against a crash of a decoder on text that is almost right. Each case
 // changes some bytes of a valid text; all are drawn from one seed.
 TEST(decoders_test, SurviveChangedBytes)
@@ -321,7 +393,7 @@
         if (random() % 4 == 0)
             text.insert(random() % text.size(), random() % 200, '[');
         attempt([&] { decode_config(text); });
-        attempt([&] { decode_server("i-1", text); });
+        attempt([&] { decode_server(backend_server_id("i-1"), text); });
         attempt([&] { decode_list(object_kind::server, text); });
         attempt([&] { decode_events(object_kind::server, text); });
         attempt([&] { decode_object(text); });
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -12,6 +12,7 @@
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/net/http_listener.hpp>
 
+#include <QtCore/QByteArray>
 #include <QtNetwork/QTcpServer>
 #include <QtNetwork/QTcpSocket>
 
@@ -106,7 +107,7 @@
 
     // Sets the number of objects in a page of a list, and a function that is
     // called after each page with further ones.
-    void set_pages(std::size_t size, std::function<void()> after_page)
+    void set_pages(std::size_t size, std::function<void()> after_page = {})
     {
         page_size_ = size;
         after_page_ = std::move(after_page);
@@ -129,6 +130,12 @@
         return response;
     }
 
+    static std::string percent_decoded(const std::string& text)
+    {
+        return QByteArray::fromPercentEncoding(QByteArray::fromStdString(text))
+            .toStdString();
+    }
+
     static std::uint64_t number_in(
         const std::string& target, const std::string& field)
     {
@@ -212,8 +219,8 @@
         }
         const std::string prefix = "/-/objects/";
         const std::string path =
-            request.target.substr(0, request.target.find('?'))
-                .substr(prefix.size());
+            percent_decoded(request.target.substr(0, request.target.find('?'))
+                                .substr(prefix.size()));
         const std::size_t slash = path.find('/');
         const std::string kind = path.substr(0, slash);
         if (request.target.find("Watch=") != std::string::npos) {
@@ -248,9 +255,10 @@
             return;
         }
         const std::size_t query = request.target.find("after=");
-        const std::string after = query == std::string::npos
-                                      ? std::string()
-                                      : request.target.substr(query + 6);
+        const std::string after =
+            query == std::string::npos
+                ? std::string()
+                : percent_decoded(request.target.substr(query + 6));
         if (after.empty())
             ++lists_[kind];
         json items = json::array();
