Store each server of the pool only under its service

What callers saw: another writer kept an entry, replaced it by one of another service and removed it.

Cause: the pool had an index from services to pointers to its servers. An entry with another start time reset the server, also its service, before the index of the earlier service was corrected. The pointer stayed there when the server was freed.

Ruled out: the missing fields of the entry, which only let it become a server; the regression tests use complete entries.

Change: the servers are stored in the maps of their services and nowhere else, so that there is no index that can disagree. A server that changes its service counts as another server, and what was observed of it is discarded.

--- a/include/filberthub/routing/server_pool.hpp
+++ b/include/filberthub/routing/server_pool.hpp
@@ -122,8 +122,9 @@
         fleet_size_ = size;
     }
 
-    // Adds or updates a server. `cold_rate` is that of its service, and
-    // `uniform_random` is a uniform random number in [0, 1).
+    // Adds or updates a server. What was observed of it is discarded if its
+    // incarnation or its service differs. `cold_rate` is that of its service,
+    // and `uniform_random` is a uniform random number in [0, 1).
     void put(const server_entry& entry, double cold_rate, double uniform_random,
         time_point now);
     void remove(const backend_server_id& id);
@@ -159,7 +160,10 @@
     // start of the incarnation that said so.
     std::map<backend_server_id, std::uint64_t> leaving_servers() const;
 
+    // Returns a server, or null. The pointer is valid until `remove` is called
+    // with its id.
     const observed_server* find(const backend_server_id& id) const;
+    // Returns the servers of a service. The same holds for the pointers.
     std::vector<const observed_server*> of_service(
         const service_id& service) const;
     // Returns the number of servers of a service.
@@ -229,15 +233,19 @@
     double expected_requests(
         const observed_server& server, time_point now) const;
     observed_server* find_mutable(const backend_server_id& id);
+    observed_server& place(
+        const backend_server_id& id, const service_id& service);
     double cold_interval_seconds(const observed_server& server) const;
 
     failure_domain_id own_domain_;
     cold_bound bound_;
     std::size_t fleet_size_ = 1;
-    std::map<backend_server_id, observed_server> servers_;
-    // The servers of each service, in the order of their ids.
-    std::map<service_id, std::map<backend_server_id, const observed_server*>>
-        by_service_;
+    // The servers of each service, in the order of their ids. They are stored
+    // here only, so that a service never lists a server that was removed.
+    std::map<service_id, std::map<backend_server_id, observed_server>>
+        services_;
+    // The service under which each server is stored.
+    std::map<backend_server_id, service_id> service_of_;
     service_time_tracker times_;
     std::set<failure_domain_id> evacuated_;
     // Kept while an entry is missing, because it may have lapsed.
--- a/src/routing/server_pool.cpp
+++ b/src/routing/server_pool.cpp
@@ -57,27 +57,38 @@
 void server_pool::put(const server_entry& entry, double cold_rate,
     double uniform_random, time_point now)
 {
-    auto [found, is_new] = servers_.try_emplace(entry.id);
-    observed_server& server = found->second;
-    if (!is_new && server.entry.started != entry.started) {
-        // Observations of an earlier incarnation do not apply to this one.
+    observed_server& server = place(entry.id, entry.service);
+    // Observations of an earlier incarnation, or of a server of another
+    // service, do not apply to this one.
+    if (server.entry.started != entry.started ||
+        server.entry.service != entry.service) {
         const unsigned in_flight = server.in_flight;
         server = {};
         server.in_flight = in_flight;
         times_.forget(entry.id);
     }
-    if (!is_new && server.entry.service != entry.service)
-        by_service_[server.entry.service].erase(entry.id);
     server.entry = entry;
     server.id_hash = hash_of_server(entry.id);
     server.cold_rate = cold_rate;
-    by_service_[entry.service][entry.id] = &server;
     apply_announcement(server);
     if (entry.cold_left.count() > 0)
         make_cold(entry.id, entry.cold_left, uniform_random, now);
     record_usability(server, now);
 }
 
+// Returns the server with this id, stored under the service. Adds it if it is
+// not known.
+observed_server& server_pool::place(
+    const backend_server_id& id, const service_id& service)
+{
+    const auto [found, is_new] = service_of_.try_emplace(id, service);
+    if (is_new || found->second == service)
+        return services_[service][id];
+    auto node = services_.at(found->second).extract(id);
+    found->second = service;
+    return services_[service].insert(std::move(node)).position->second;
+}
+
 void server_pool::record_usability(
     observed_server& server, time_point now) const
 {
@@ -106,11 +117,11 @@
 
 void server_pool::remove(const backend_server_id& id)
 {
-    const auto found = servers_.find(id);
-    if (found == servers_.end())
+    const auto found = service_of_.find(id);
+    if (found == service_of_.end())
         return;
-    by_service_[found->second.entry.service].erase(id);
-    servers_.erase(found);
+    services_.at(found->second).erase(id);
+    service_of_.erase(found);
     times_.forget(id);
 }
 
@@ -129,39 +140,43 @@
         evacuated_.insert(domain);
     else
         evacuated_.erase(domain);
-    for (auto& [id, server] : servers_)
-        record_usability(server, now);
+    for (auto& [service, servers] : services_) {
+        for (auto& [id, server] : servers)
+            record_usability(server, now);
+    }
 }
 
 const observed_server* server_pool::find(const backend_server_id& id) const
 {
-    const auto found = servers_.find(id);
-    return found == servers_.end() ? nullptr : &found->second;
+    const auto found = service_of_.find(id);
+    return found == service_of_.end() ? nullptr
+                                      : &services_.at(found->second).at(id);
 }
 
 observed_server* server_pool::find_mutable(const backend_server_id& id)
 {
-    const auto found = servers_.find(id);
-    return found == servers_.end() ? nullptr : &found->second;
+    const auto found = service_of_.find(id);
+    return found == service_of_.end() ? nullptr
+                                      : &services_.at(found->second).at(id);
 }
 
 std::vector<const observed_server*> server_pool::of_service(
     const service_id& service) const
 {
     std::vector<const observed_server*> result;
-    const auto found = by_service_.find(service);
-    if (found == by_service_.end())
+    const auto found = services_.find(service);
+    if (found == services_.end())
         return result;
     result.reserve(found->second.size());
     for (const auto& [id, server] : found->second)
-        result.push_back(server);
+        result.push_back(&server);
     return result;
 }
 
 std::size_t server_pool::count_of(const service_id& service) const
 {
-    const auto found = by_service_.find(service);
-    return found == by_service_.end() ? 0 : found->second.size();
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.size();
 }
 
 bool server_pool::usable(const observed_server& server) const
