Wait for unseen grants if a restore may have lost the first lease

What users saw: the store came back from a copy older than the first lease, and all processes started again.

Cause: a process that sees the store for the first time after the restore finds no lease and has seen no earlier epoch, so that it took the deployment for a new one.

Ruled out: tokens; those of the new epoch are higher, and no server refused them.

Change: without a lease, the deployment counts as new only if the store reports no epoch, or if the settings say that the whole system starts for the first time and the process has read the lease in its first 0.6 s, before anybody plans a table. A first start costs nothing more.

Evidence: the model of the property now has processes that are killed and start again, alone and all at once beside a restore, processes that reach the store late, and copies without a lease, a table or both. The model also passes on what the lease says of a lost table when the epoch rises, as the controller does; before, it passed false.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -62,6 +62,10 @@
     // Longest time for which a grant may be valid after it was sent:
     // `key_granter_options::max_grant_duration`.
     milliseconds max_grant{3'210};
+    // No process of a new deployment has granted keys when another one has run
+    // for this time. A coordinator plans its first table 1.2 s after its start,
+    // and all processes start within 0.3 s; the rest is a margin.
+    milliseconds before_first_grants{600};
 };
 
 // A conditional write of the lease object.
@@ -93,6 +97,14 @@
         options_.takeover_jitter = time;
     }
 
+    // To be called once, when the process starts together with all others of a
+    // new deployment. Otherwise, a store that was restored and has no lease may
+    // have lost one.
+    void on_first_start(time_point now)
+    {
+        no_grants_before_ = now + options_.before_first_grants;
+    }
+
     // To be called with each read of the lease object; `record` is empty if the
     // object does not exist. Reads of an older revision are ignored.
     void on_read(const std::optional<lease_record>& record,
@@ -215,6 +227,8 @@
     time_point takeover_time(bool unheld, bool cut_off) const;
     // Whether a stored record was written before the last restore.
     bool from_copy(const std::optional<lease_record>& record) const;
+    // Whether a restore that this process has not seen may have lost a lease.
+    bool may_have_lost_lease() const;
     // Whether no other process can have taken the lease before this one learned
     // of a restore at `now`.
     bool held_alone(time_point now) const;
@@ -260,6 +274,11 @@
     store_epoch epoch_;
     // Whether this process has seen an earlier epoch.
     bool saw_restore_ = false;
+    // In a new deployment, no keys are granted before this time.
+    time_point no_grants_before_;
+    // Whether keys may have been granted before this process read the lease for
+    // the first time.
+    bool missed_beginning_ = true;
     // Whether this process held the lease at the last restore and has not
     // written it in the new epoch.
     bool claiming_ = false;
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -121,6 +121,8 @@
     server_.on_quota_needed(
         [this](const instance_id& instance) { return quota_for(instance); });
     store_.on_epoch([this](store_epoch epoch) { on_store_epoch(epoch); });
+    if (settings_.first_start)
+        lease_.on_first_start(clock_());
     store_.watch_lease(true);
 }
 
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -53,6 +53,8 @@
     if (has_read_ && store_revision < revision_)
         return;
     const store_epoch read_epoch = epoch_of_revision(store_revision);
+    if (!has_read_)
+        missed_beginning_ = now >= no_grants_before_;
     if (read_epoch > epoch_ && has_read_)
         on_epoch(read_epoch, now);
     epoch_ = std::max(epoch_, read_epoch);
@@ -174,10 +176,10 @@
                                   ? leases_before_predecessor_end_
                                   : now + options_.duration;
         // The copy does not show who held the lease in the lost seconds.
-        others_unseen_ = record_ ? from_copy(record_) : saw_restore_;
+        others_unseen_ = record_ ? from_copy(record_) : may_have_lost_lease();
         // An earlier holder may have found no table after a restore either.
         table_may_be_lost_ =
-            epoch_ > store_epoch{} && (record_ || saw_restore_);
+            record_ ? epoch_ > store_epoch{} : may_have_lost_lease();
         if (others_unseen_) {
             earlier_leases_end_ = now + options_.duration;
             leases_before_predecessor_end_ = earlier_leases_end_;
@@ -260,6 +262,13 @@
     return !record || epoch_of_term(record->term) < epoch_;
 }
 
+// A store without an epoch is never restored. The number of the first epoch is
+// not known, so that a high one proves nothing.
+bool coordinator_lease::may_have_lost_lease() const
+{
+    return epoch_ > store_epoch{} && (saw_restore_ || missed_beginning_);
+}
+
 bool coordinator_lease::held_alone(time_point now) const
 {
     return confirmed_at_ && now - *confirmed_at_ < options_.renewal_silence &&
--- a/test/routing/store_epoch_property_test.cpp
+++ b/test/routing/store_epoch_property_test.cpp
@@ -1,4 +1,4 @@
-#include "routing/routing_builders.hpp"
+#include "routing/store_epoch_model.hpp"
 
 #include <filberthub/routing/coordinator_lease.hpp>
 #include <filberthub/routing/key_coordinator.hpp>
@@ -13,72 +13,12 @@
 
 constexpr std::size_t server_count = 3;
 constexpr std::size_t process_count = 3;
-// Keys at which the holders are compared.
-constexpr key_number sample_step = 2'048;
-constexpr std::size_t sample_count = key_count / sample_step;
 
 int random_below(int end)
 {
     return *rc::gen::inRange(0, end);
 }
 
-// An object of the store; revision 0 if it does not exist.
-struct stored_object
-{
-    std::uint64_t revision = 0;
-    std::string text;
-};
-
-struct model_store
-{
-    store_epoch epoch{1};
-    std::uint64_t revision = 10;
-    stored_object lease;
-    stored_object table;
-
-    bool write(stored_object model_store::*object, std::uint64_t plain,
-        const std::string& text)
-    {
-        if ((this->*object).revision != plain)
-            return false;
-        this->*object = {++revision, text};
-        return true;
-    }
-};
-
-struct model_server
-{
-    std::array<std::uint64_t, sample_count> token{};
-    std::array<time_point, sample_count> held_until{};
-
-    // The clock of the server is 2% slow.
-    bool run(const grant_command& command, time_point arrival)
-    {
-        const auto time =
-            std::chrono::duration_cast<duration>(command.grant_duration * 1.02);
-        const auto for_samples = [&](const auto& function) {
-            for (std::size_t index = 0; index < sample_count; ++index) {
-                const key_number key = sample_step * index;
-                if (key >= command.first && key <= command.last)
-                    function(index);
-            }
-        };
-        bool accepted = true;
-        for_samples([&](std::size_t index) {
-            accepted = accepted && token[index] <= command.token.value();
-        });
-        for_samples([&](std::size_t index) {
-            if (command.release)
-                held_until[index] = {};
-            else if (accepted) {
-                token[index] = command.token.value();
-                held_until[index] = std::max(held_until[index], arrival + time);
-            }
-        });
-        return accepted || command.release;
-    }
-};
-
 struct late_write
 {
     time_point due;
@@ -97,23 +37,28 @@
 
 struct process
 {
-    explicit process(std::size_t number) : lease(self(number), lease_options{})
+    // `run` tells the processes with one number apart.
+    process(std::size_t number, std::uint64_t run, time_point start)
+        : lease(self(number, run), lease_options{}), starts_at(start)
     {}
 
-    static lease_record self(std::size_t number)
+    static lease_record self(std::size_t number, std::uint64_t run)
     {
         lease_record record;
         record.holder = instance_id("i" + std::to_string(number));
         record.address = {"10.0.0.1", 7'000};
-        record.run_id = 1'000 * (number + 1);
+        record.run_id = 1'000'000 * (number + 1) + 1'000 * run;
         return record;
     }
 
     coordinator_lease lease;
     std::unique_ptr<key_coordinator> keys;
     store_epoch epoch;
+    // When it starts. Until then it does nothing.
+    time_point starts_at;
     bool seen_store = false;
     bool read_back = false;
+    bool table_may_be_lost = false;
     bool cut_off = false;
     std::array<bool, server_count> server_cut{};
 };
@@ -125,8 +70,13 @@
 public:
     drill()
     {
-        for (std::size_t number = 0; number < process_count; ++number)
-            processes_.emplace_back(number);
+        // All start within 0.3 s, and some begin to use the store later.
+        for (std::size_t number = 0; number < process_count; ++number) {
+            process& item = processes_.emplace_back(
+                number, 0, now_ + milliseconds(random_below(300)));
+            item.lease.on_first_start(item.starts_at);
+            item.cut_off = random_below(4) == 0;
+        }
     }
 
     void run(int steps)
@@ -136,7 +86,7 @@
             disturb();
             run_late();
             for (process& item : processes_) {
-                if (random_below(12) != 0)
+                if (now_ >= item.starts_at && random_below(12) != 0)
                     tick(item);
             }
             for (std::size_t index = 0; index < sample_count; ++index) {
@@ -162,7 +112,12 @@
                          .second;
             store_.epoch = store_epoch(next);
             copies_.clear();
+            if (random_below(3) == 0)
+                restart_all();
         }
+        if (random_below(40) == 0)
+            restart(random_below(process_count));
+        lose_objects();
         process& item = processes_[random_below(process_count)];
         if (random_below(10) == 0)
             item.cut_off = !item.cut_off;
@@ -172,6 +127,34 @@
         }
     }
 
+    // A copy may lack the lease, the table or both, whatever its age.
+    void lose_objects()
+    {
+        if (copies_.empty() || random_below(20) != 0)
+            return;
+        model_store& copy = copies_[static_cast<std::size_t>(random_below(
+                                        static_cast<int>(copies_.size())))]
+                                .second;
+        if (random_below(2) == 0)
+            copy.lease = {};
+        if (random_below(2) == 0)
+            copy.table = {};
+    }
+
+    // A killed process starts again and remembers nothing.
+    void restart(int number)
+    {
+        const auto index = static_cast<std::size_t>(number);
+        processes_[index] = process(
+            index, ++runs_, now_ + milliseconds(*rc::gen::inRange(0, 1'500)));
+    }
+
+    void restart_all()
+    {
+        for (std::size_t number = 0; number < process_count; ++number)
+            restart(static_cast<int>(number));
+    }
+
     void run_late()
     {
         std::erase_if(writes_, [this](const late_write& item) {
@@ -198,8 +181,8 @@
             return;
         item.lease.on_epoch(item.epoch, now_);
         if (item.keys) {
-            item.keys->on_epoch(
-                item.epoch, item.lease.unseen_grants_end(), false);
+            item.keys->on_epoch(item.epoch, item.lease.unseen_grants_end(),
+                item.table_may_be_lost);
             item.read_back = true;
         }
     }
@@ -269,8 +252,9 @@
             item.keys = std::make_unique<key_coordinator>(
                 key_granter_options{}, key_plan_options{});
             item.read_back = false;
+            item.table_may_be_lost = item.lease.table_may_be_lost();
             item.keys->on_epoch(item.epoch, item.lease.unseen_grants_end(),
-                item.lease.table_may_be_lost());
+                item.table_may_be_lost);
             std::optional<key_table> table;
             if (store_.table.revision > 0)
                 table = key_table::from_text(store_.table.text);
@@ -374,6 +358,7 @@
     std::vector<late_command> commands_;
     std::array<model_server, server_count> servers_;
     std::vector<process> processes_;
+    std::uint64_t runs_ = 0;
 };
 
 // Guards against two owners of a key, for sequences of restores.
--- a/test/routing/store_epoch_test.cpp
+++ b/test/routing/store_epoch_test.cpp
@@ -26,6 +26,7 @@
 coordinator_lease held_lease()
 {
     coordinator_lease lease(record_of("a", 1), lease_options{});
+    lease.on_first_start(at_ms(0));
     lease.on_read(std::nullopt, in_epoch(1, 0), at_ms(0));
     std::uint64_t revision = 10;
     for (std::int64_t ms = 0; ms <= 6'000; ms += 600) {
@@ -120,6 +121,38 @@
     EXPECT_FALSE(lease.is_holder());
 }
 
+// Guards against two owners after a restore from a copy that is older than the
+// first lease: a process that sees the store for the first time cannot know
+// whether others have granted keys.
+TEST(CoordinatorLeaseEpoch, AssumesCoordinatorsThatARestoreHasHidden)
+{
+    const auto take = [](std::optional<std::int64_t> first_start_ms,
+                          std::uint64_t epoch) {
+        coordinator_lease lease(record_of("a", 1), lease_options{});
+        if (first_start_ms)
+            lease.on_first_start(at_ms(*first_start_ms));
+        lease.on_read(std::nullopt, in_epoch(epoch, 0), at_ms(1'000));
+        EXPECT_TRUE(lease.next_write(at_ms(1'000)));
+        lease.on_written(in_epoch(epoch, 4), at_ms(1'010));
+        return lease;
+    };
+    // Restarted, and started with all others but late at the store.
+    for (const auto first_start :
+        {std::optional<std::int64_t>(), std::optional<std::int64_t>(400)}) {
+        const coordinator_lease lease = take(first_start, 2);
+        EXPECT_TRUE(lease.others_unseen());
+        EXPECT_TRUE(lease.table_may_be_lost());
+        EXPECT_EQ(lease.earlier_leases_end(), at_ms(9'000));
+    }
+    // A new deployment, of which nobody has granted keys, and a store that is
+    // never restored. They must not wait.
+    for (const coordinator_lease& lease :
+        {take(401, 2), take(std::nullopt, 0)}) {
+        EXPECT_FALSE(lease.others_unseen());
+        EXPECT_FALSE(lease.table_may_be_lost());
+    }
+}
+
 class KeyCoordinatorEpoch : public testing::Test
 {
 protected:
