Give a process that has lost the lease a new run id

Cause, from a trace of the shrunk case: a coordinator reads after a restore that another process holds the lease, and forgets its grants. A renewal that it had sent before the restore is then carried out, because revisions are issued again. The stored record names its run, so that it holds the lease without the wait of a new coordinator, and grants keys that servers still hold from before.

Ruled out: the restarts in the trace; they belong to a third process, which has no part in it.

Change: losing the lease ends the run, as a restore does for a process that does not hold it. None of its earlier writes can name it as the holder any more.

--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -86,8 +86,12 @@
         if (!same_run)
             last_answered_ = now;
     }
-    if (was_holder && !is_holder())
+    if (was_holder && !is_holder()) {
         confirmed_at_.reset();
+        // After a restore, revisions are issued again, so that a late write of
+        // this process may still be carried out and name it as the holder.
+        ++self_.run_id;
+    }
     // The last write of this process was carried out, but its answer was lost.
     if (write_uncertain_ && is_holder() && *record_ == written_record_)
         confirm(now);
--- a/test/routing/store_epoch_test.cpp
+++ b/test/routing/store_epoch_test.cpp
@@ -121,6 +121,23 @@
     EXPECT_FALSE(lease.is_holder());
 }
 
+// The same after the process has read that another one holds the lease: it has
+// forgotten what it had granted.
+TEST(CoordinatorLeaseEpoch, IsNotHeldByALateWriteOnceItIsLost)
+{
+    coordinator_lease lease = held_lease();
+    lease_record late = *lease.record();
+    ++late.renewal;
+    lease.on_epoch(store_epoch(2), at_ms(6'300));
+    lease_record other = record_of("b", 2);
+    other.term = next_term(0, store_epoch(2));
+    lease.on_read(other, in_epoch(2, 3), at_ms(6'350));
+    EXPECT_FALSE(lease.is_holder());
+    lease.on_read(late, in_epoch(2, 4), at_ms(6'500));
+    EXPECT_FALSE(lease.is_holder());
+    EXPECT_FALSE(lease.holds(at_ms(6'500)));
+}
+
 // Guards against two owners after a restore from a copy that is older than the
 // first lease: a process that sees the store for the first time cannot know
 // whether others have granted keys.
