Wait for bytes and not for turns while a request is incomplete

What users saw: one connection with a part of a request kept a process at 1.00 cores for as long as it was open.

Cause: after a response, a connection decoded again in each turn of the event loop while a request was incomplete. That is needed only for requests which have arrived completely while too many were open.

Change: the connection remembers why it stopped decoding.

PipelinedRequests.AreAllServedIfTheyArriveAtOnce held before too and guards the case that needs the further turn. The other connections decode on arrival only (read).

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -89,6 +89,7 @@
         while (!closing_ &&
                exchanges_.size() < listener_.options_.pipelined_requests) {
             std::optional<http_request> request = decoder_.next();
+            undecoded_ = request.has_value();
             if (!request)
                 break;
             accept_request(std::move(*request));
@@ -235,7 +236,7 @@
     }
     account();
     if (!decoding_ && !closing_ && !reading_paused() &&
-        (socket_->bytesAvailable() > 0 || decoder_.in_message()))
+        (socket_->bytesAvailable() > 0 || undecoded_))
         QTimer::singleShot(0, this, [this] { read_available(); });
 }
 
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -69,6 +69,9 @@
     time_point last_written_;
     bool closing_ = false;
     bool decoding_ = false;
+    // Whether bytes behind the last complete request were not decoded yet. An
+    // incomplete request waits for further bytes instead.
+    bool undecoded_ = false;
     // Whether the memory budget has dropped the connection.
     bool shed_ = false;
     // Whether the connection closes once the response in `writer_` is written.
