Keep exceptions inside the callbacks of the event loop

Change: guard_callback stands around the callbacks of sockets, timers, watches and replies of `route`. A failure ends what the event belongs to (request, call, connection, command, coordination), is logged with its place and counted in filberthub_failed_callbacks_total. A request that fails gets 502, as it is not known how far it came; its call, slot and place are freed. A reply of the store whose handling fails counts as `unknown`, so that its owner reads the object. A failed coordinator resigns, and its successor waits for its grants as for those of any other.

Evidence: callback_failure_test, failing_request_test, StoreSession.ReportsUnknownAfterACallbackThatThrows and FleetRole.ResignsWhenItsWorkFails each fail with the exception when linked with the code before, and pass now.

--- a/include/filberthub/net/http_client.hpp
+++ b/include/filberthub/net/http_client.hpp
@@ -98,7 +98,8 @@
 }
 
 // Sends at most one request at a time on a connection, and never repeats a
-// request. A connection is not used again after a cancelled request, a timeout,
+// request. An exception of a callback is logged and does not affect other
+// calls. A connection is not used again after a cancelled request, a timeout,
 // a malformed response or unexpected bytes.
 class http_client : public QObject
 {
@@ -176,7 +177,10 @@
     bool close_one_connection(time_point now);
     void open_connections_for_waiting();
     void withdraw(call_number number);
+    void reject(call_number number);
+    void finish_later(call_number number, http_result result);
     void finish(call_number number, http_result result);
+    static void report(const http_callback& callback, http_result result);
     void remove(detail::client_connection* connection, bool reset);
     void fail_expired();
     void arm_timer();
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -121,9 +121,17 @@
         return connecting() && now > connect_deadline_;
     }
 
+    // Throws `error` if the request cannot be sent. Nothing has changed then.
     void start(
         call_number number, http_client::call& call, http_request request)
     {
+        if (client_.options_.number_exchanges) {
+            request.headers.set(
+                exchange_header, std::to_string(number.value()));
+        }
+        if (!request.headers.get("Host"))
+            request.headers.set("Host", to_string(client_.address_));
+        std::string head = encode_head(request);
         number_ = number;
         busy_ = true;
         ++requests_;
@@ -137,13 +145,6 @@
                                 .value_or(""));
         }
         decoder_.begin(head_request_, client_.options_.allow_close_delimited);
-        if (client_.options_.number_exchanges) {
-            request.headers.set(
-                exchange_header, std::to_string(number.value()));
-        }
-        if (!request.headers.get("Host"))
-            request.headers.set("Host", to_string(client_.address_));
-        std::string head = encode_head(request);
         if (!request.shared_body && !request.body.empty()) {
             request.shared_body =
                 std::make_shared<const std::string>(std::move(request.body));
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "net/client_connection.hpp"
 
+#include <filberthub/telemetry/callback_guard.hpp>
+
 #include <algorithm>
 
 namespace filberthub {
@@ -107,10 +109,15 @@
             continue;
         }
         waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(index));
-        if (std::optional<http_request> request = next.source())
-            connection->start(number, next, std::move(*request));
-        else
-            withdraw(number);
+        guard_callback(
+            "request for a server",
+            [&] {
+                if (std::optional<http_request> request = next.source())
+                    connection->start(number, next, std::move(*request));
+                else
+                    withdraw(number);
+            },
+            [&] { reject(number); });
     }
 }
 
@@ -157,16 +164,31 @@
         open_connections_for_waiting();
 }
 
-// The callback is called later, because `send` may be on the stack.
 void http_client::withdraw(call_number number)
 {
-    QTimer::singleShot(0, this, [this, number] {
-        finish(number, {.response = std::nullopt,
-                           .kind = error_kind::cancelled,
-                           .message = "withdrawn before it was sent",
-                           .sent = false,
-                           .withdrawn = true});
-    });
+    finish_later(number, {.response = std::nullopt,
+                             .kind = error_kind::cancelled,
+                             .message = "withdrawn before it was sent",
+                             .sent = false,
+                             .withdrawn = true});
+}
+
+// Fails a call whose request could not be built.
+void http_client::reject(call_number number)
+{
+    finish_later(number, {.response = std::nullopt,
+                             .kind = error_kind::internal,
+                             .message = "the request could not be built",
+                             .sent = false});
+}
+
+// The callback is called later, because `send` may be on the stack.
+void http_client::finish_later(call_number number, http_result result)
+{
+    QTimer::singleShot(
+        0, this, [this, number, result = std::move(result)]() mutable {
+            finish(number, std::move(result));
+        });
 }
 
 void http_client::finish(call_number number, http_result result)
@@ -178,14 +200,21 @@
     result.connection_wait =
         found->second.connection_wait(std::chrono::steady_clock::now());
     calls_.erase(found);
-    callback(std::move(result));
+    report(callback, std::move(result));
+}
+
+// The call has ended already, so that nothing of it is left to clean up.
+void http_client::report(const http_callback& callback, http_result result)
+{
+    guard_callback(
+        "result of a call", [&] { callback(std::move(result)); }, [] {});
 }
 
 void http_client::remove(detail::client_connection* connection, bool reset)
 {
     std::erase(connections_, connection);
     if (reset && reset_callback_)
-        reset_callback_();
+        guard_callback("lost connection", reset_callback_, [] {});
 }
 
 // Starts the timer for the earliest deadline of a call or of a connection that
@@ -231,12 +260,13 @@
         http_callback callback = std::move(found->second.callback);
         const milliseconds connection_wait = found->second.connection_wait(now);
         const bool sent = cancel(number);
-        callback({.response = std::nullopt,
-            .kind = sent ? error_kind::outcome_unknown
-                         : error_kind::deadline_exceeded_not_run,
-            .message = "no answer before the deadline",
-            .sent = sent,
-            .connection_wait = connection_wait});
+        report(
+            callback, {.response = std::nullopt,
+                          .kind = sent ? error_kind::outcome_unknown
+                                       : error_kind::deadline_exceeded_not_run,
+                          .message = "no answer before the deadline",
+                          .sent = sent,
+                          .connection_wait = connection_wait});
     }
     arm_timer();
 }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -2,6 +2,7 @@
 #include "net/socket_options.hpp"
 
 #include <filberthub/base/error.hpp>
+#include <filberthub/telemetry/callback_guard.hpp>
 
 #include <QtCore/QTimer>
 
@@ -178,10 +179,17 @@
 {
     if (!request.keep_alive)
         closing_ = true;
-    auto exchange = std::make_shared<http_exchange>(std::move(request), this);
+    const auto exchange =
+        std::make_shared<http_exchange>(std::move(request), this);
     exchanges_.push_back(exchange);
     ++listener_.in_flight_;
-    listener_.handler_(std::move(exchange));
+    // How far the handler came is not known.
+    guard_callback(
+        "request of a caller", [&] { listener_.handler_(exchange); },
+        [&] {
+            exchange->respond(error_response(error_kind::outcome_unknown,
+                "the request failed inside this instance"));
+        });
 }
 
 void http_connection::update_buffered()
@@ -201,9 +209,18 @@
 void http_connection::write_response(http_exchange& exchange)
 {
     http_response& response = *exchange.response_;
+    std::string head;
+    guard_callback(
+        "response to a caller", [&] { head = encode_head(response); },
+        [&] {
+            const bool keep_alive = response.keep_alive;
+            response = error_response(error_kind::bad_backend_answer,
+                "the response cannot be written");
+            response.keep_alive = keep_alive;
+            head = encode_head(response);
+        });
     const bool has_body =
         exchange.request_.method != "HEAD" && !response.body.empty();
-    std::string head = encode_head(response);
     writer_.start(std::move(head),
         has_body ? std::make_shared<const std::string>(std::move(response.body))
                  : nullptr);
@@ -295,8 +312,10 @@
     for (const std::shared_ptr<http_exchange>& exchange : unfinished)
         exchange->connection_ = nullptr;
     for (const std::shared_ptr<http_exchange>& exchange : unfinished) {
-        if (!exchange->answered() && exchange->cancelled_callback_)
-            exchange->cancelled_callback_();
+        if (!exchange->answered() && exchange->cancelled_callback_) {
+            guard_callback(
+                "cancelled request", exchange->cancelled_callback_, [] {});
+        }
     }
     if (listener_.connections_.erase(this) > 0)
         deleteLater();
--- a/src/router/caller_placement.cpp
+++ b/src/router/caller_placement.cpp
@@ -150,7 +150,8 @@
     request->slot_number = gates_.request_slot(std::move(slot),
         view_.uniform_random(), [this, weak_request](const gate_reply& reply) {
             if (const request_ptr live_request = weak_request.lock())
-                on_gate_reply(live_request, reply);
+                guard(live_request, "reply of a gate",
+                    [&] { on_gate_reply(live_request, reply); });
         });
     request->waiting_for_slot = request->slot_number.has_value();
     return request->waiting_for_slot;
@@ -309,10 +310,12 @@
             moved_requests.push_back(request);
     }
     for (const request_ptr& request : moved_requests) {
-        request->waiting_for_slot = false;
-        report_to_gate(
-            *request, send_outcome::cancelled, milliseconds(0), std::nullopt);
-        start_attempt(request);
+        guard(request, "move of a waiting request", [&] {
+            request->waiting_for_slot = false;
+            report_to_gate(*request, send_outcome::cancelled, milliseconds(0),
+                std::nullopt);
+            start_attempt(request);
+        });
     }
 }
 
@@ -329,7 +332,8 @@
     }
     for (const request_ptr& request : unsent_requests) {
         if (request->client != nullptr)
-            on_withdrawn(request, now);
+            guard(request, "withdrawal of an attempt",
+                [&] { on_withdrawn(request, now); });
     }
 }
 
@@ -345,7 +349,7 @@
         });
     for (const request_ptr& request : waiting) {
         request->waiting_for_retry = false;
-        start_attempt(request);
+        guard(request, "waiting request", [&] { start_attempt(request); });
     }
 }
 
--- a/src/router/caller_request.hpp
+++ b/src/router/caller_request.hpp
@@ -6,6 +6,8 @@
 
 #include "router/caller_service.hpp"
 
+#include <filberthub/telemetry/callback_guard.hpp>
+
 namespace filberthub {
 
 // Sent as Retry-After. A moved key has an owner again, or a slot is free, when
@@ -74,6 +76,15 @@
     }
 };
 
+// Calls a function that handles an event of one request. If it throws, only
+// this request is affected.
+template <class Function>
+void caller_service::guard(const request_ptr& request, std::string_view place,
+    const Function& function)
+{
+    guard_callback(place, function, [&] { abandon(request); });
+}
+
 } // namespace filberthub
 
 #endif
--- a/src/router/caller_service.cpp
+++ b/src/router/caller_service.cpp
@@ -96,6 +96,23 @@
     request->exchange = std::move(exchange);
     request->arrived = now;
     request->position = requests_.insert(requests_.end(), request);
+    guard(request, "new request", [&] { admit(request); });
+}
+
+// Ends a request whose handling has failed. It is not known how far it came, so
+// that the answer does not say that it has not run.
+void caller_service::abandon(const request_ptr& request)
+{
+    if (request->finished)
+        return;
+    request->state.may_have_run = true;
+    cancel_attempt(*request, clock_());
+    fail(request, failure_of(request->state, false, retry_delay),
+        "the request failed inside this instance");
+}
+
+void caller_service::admit(const request_ptr& request)
+{
     const http_request& original = request->exchange->request();
     request->id =
         std::string(original.headers.get(header::request_id).value_or(""));
@@ -161,7 +178,8 @@
     const std::weak_ptr<caller_request> weak_request = request;
     request->exchange->on_cancelled([this, weak_request] {
         if (const request_ptr live_request = weak_request.lock())
-            on_cancelled(live_request);
+            guard(live_request, "cancelled request",
+                [&] { on_cancelled(live_request); });
     });
     start_attempt(request);
 }
@@ -237,7 +255,8 @@
         std::max(elapsed(now, request->state.answer_deadline), milliseconds(1)),
         [this, request, server](http_result result) {
             request->client = nullptr;
-            on_result(request, server, std::move(result));
+            guard(request, "result of an attempt",
+                [&] { on_result(request, server, std::move(result)); });
         },
         choice);
 }
@@ -285,9 +304,11 @@
     for (const request_ptr& request : open_requests) {
         if (request->finished || is_sent(*request))
             continue;
-        cancel_attempt(*request, clock_());
-        fail(request, failure_of(request->state, false, retry_delay),
-            "this instance is stopping");
+        guard(request, "request at the stop", [&] {
+            cancel_attempt(*request, clock_());
+            fail(request, failure_of(request->state, false, retry_delay),
+                "this instance is stopping");
+        });
     }
 }
 
--- a/src/router/caller_service.hpp
+++ b/src/router/caller_service.hpp
@@ -72,6 +72,11 @@
     struct caller_request;
     using request_ptr = std::shared_ptr<caller_request>;
 
+    template <class Function>
+    void guard(const request_ptr& request, std::string_view place,
+        const Function& function);
+    void abandon(const request_ptr& request);
+    void admit(const request_ptr& request);
     bool identify_account(caller_request& request,
         const std::shared_ptr<const route_table>& routes) const;
     bool confirm_account(const request_ptr& request);
--- a/src/router/deployment_view.hpp
+++ b/src/router/deployment_view.hpp
@@ -202,6 +202,7 @@
         const versioned_object& object, time_point now);
     void apply_evacuation(const failure_domain_id& domain,
         const versioned_object& object, time_point now);
+    static bool is_served_key(const std::string& key);
     void apply_published(const versioned_object& object);
     void apply_members(const versioned_object& object);
     void apply_served(const versioned_object& object);
--- a/src/router/fleet_feed.cpp
+++ b/src/router/fleet_feed.cpp
@@ -6,6 +6,7 @@
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/base/json_text.hpp>
 #include <filberthub/routing/standbys.hpp>
+#include <filberthub/telemetry/callback_guard.hpp>
 #include <filberthub/telemetry/log.hpp>
 #include <filberthub/telemetry/rejected_input.hpp>
 
@@ -223,7 +224,11 @@
       clock_(std::move(clock))
 {
     poll_timer_.setSingleShot(true);
-    connect(&poll_timer_, &QTimer::timeout, this, [this] { poll(); });
+    connect(&poll_timer_, &QTimer::timeout, this, [this] {
+        guard_callback(
+            "poll of the coordinator", [this] { poll(); },
+            [this] { poll_timer_.start(retry_delay); });
+    });
 }
 
 void feed_client::follow(const std::optional<lease_record>& coordinator)
@@ -279,8 +284,13 @@
                        .dump();
     const fleet_timing timing =
         standby_rank_ ? fleet_timing::standby() : timing_;
-    client_->send(std::move(request), timing.poll_timeout(),
-        [this](http_result result) { on_reply(std::move(result)); });
+    client_->send(
+        std::move(request), timing.poll_timeout(), [this](http_result result) {
+            guard_callback(
+                "reply of the coordinator",
+                [&] { on_reply(std::move(result)); },
+                [&] { poll_timer_.start(retry_delay); });
+        });
 }
 
 void feed_client::on_reply(http_result result)
--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -151,6 +151,14 @@
         write_lease(*write);
 }
 
+void fleet_role::resign()
+{
+    if (controller_)
+        stop_coordinating();
+    if (const auto write = lease_.leave())
+        write_lease(*write);
+}
+
 // Tells the earlier coordinator to stop granting. If it is cut off from the
 // store, it does not know that its lease was taken, and this process would have
 // to wait until the last of its grants has expired.
--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -1,5 +1,6 @@
 #include "router/fleet_role.hpp"
 
+#include <filberthub/telemetry/callback_guard.hpp>
 #include <filberthub/telemetry/log.hpp>
 
 #include <algorithm>
@@ -102,9 +103,9 @@
 {
     flush_timer_.setSingleShot(true);
     QObject::connect(&flush_timer_, &QTimer::timeout, [this] {
-        const time_point now = clock_();
-        if (lease_.may_resume())
-            server_.flush(self_.run_id, view_age(now), now);
+        guard_callback(
+            "changes for other instances", [this] { flush(); },
+            [this] { resign(); });
     });
     client_.on_answered([this](milliseconds age) {
         if (age < coordinator_cut_off_age)
@@ -212,6 +213,14 @@
 }
 
 void fleet_role::tick(time_point now)
+{
+    const bool failed = std::exchange(coordinating_failed_, false);
+    guard_callback(
+        "role of this instance", [&] { failed ? resign() : advance(now); },
+        [this] { resign(); });
+}
+
+void fleet_role::advance(time_point now)
 {
     set_takeover_times();
     renew(now);
@@ -258,6 +267,10 @@
         log_event(log_level::info, "coordinating the fleet", {{"term", term}});
         controller_ = std::make_unique<ownership_controller>(settings_, view_,
             store_, term, lease_.earlier_leases_end(), clock_);
+        controller_->on_failure([this] {
+            coordinating_failed_ = true;
+            tick_soon();
+        });
         if (lease_.table_may_be_lost())
             controller_->assume_unseen_coordinators();
         // The lease of the first term is created, so that no process has
@@ -316,22 +329,6 @@
     server_.refuse_all(refusal_text());
 }
 
-void fleet_role::publish_members(time_point now)
-{
-    std::vector<live_instance> members = server_.members();
-    members.push_back(
-        {settings_.instance, settings_.peers, settings_.processor_share});
-    const std::string text = deployment_view::encode_members(members);
-    if (text == published_members_)
-        return;
-    published_members_ = text;
-    ++publication_count_;
-    view_.update(
-        {deployment_view::members_key,
-            published_version(lease_.record()->term, publication_count_), text},
-        now);
-}
-
 void fleet_role::follow(time_point now)
 {
     if (controller_)
@@ -374,19 +371,6 @@
         store_.watch_deployment(view_.objects().complete());
 }
 
-void fleet_role::on_view_changed()
-{
-    flush_soon();
-}
-
-// Sends changes to the instances after the time for which they are gathered.
-void fleet_role::flush_soon()
-{
-    if (controller_ && !flush_timer_.isActive() &&
-        server_.has_changes_to_send())
-        flush_timer_.start(fleet_timing::flush_delay(view_.fleet_size()));
-}
-
 void fleet_role::leave()
 {
     leaving_ = true;
--- a/src/router/fleet_role.hpp
+++ b/src/router/fleet_role.hpp
@@ -68,7 +68,11 @@
     void apply_update(const watch_update& update, time_point now);
     void on_lease_objects(const watch_update& update);
     void on_store_epoch(store_epoch epoch);
+    void advance(time_point now);
     void coordinate(time_point now);
+    // Gives up the lease after a failure, so that another instance coordinates.
+    void resign();
+    void flush();
     void allocate_quotas(time_point now);
     void report_local_quota(const quota_report& report, time_point now);
     std::optional<quota_reply> quota_for(const instance_id& instance);
@@ -130,6 +134,8 @@
     std::function<void(const quota_reply&, time_point)> on_quota_;
     // Whether `controller_` waits for a renewal of a lease that has ended.
     bool granting_paused_ = false;
+    // Whether `controller_` has failed and must not go on.
+    bool coordinating_failed_ = false;
     bool lease_read_open_ = false;
     bool leaving_ = false;
     bool tick_pending_ = false;
--- a/src/router/gate_service.cpp
+++ b/src/router/gate_service.cpp
@@ -5,6 +5,7 @@
 
 #include <filberthub/base/json_text.hpp>
 #include <filberthub/membership/rendezvous.hpp>
+#include <filberthub/telemetry/callback_guard.hpp>
 #include <filberthub/telemetry/log.hpp>
 #include <filberthub/telemetry/rejected_input.hpp>
 
@@ -44,10 +45,17 @@
     connect(
         &reading_timer_, &QTimer::timeout, this, [this] { read_datagrams(); });
     deadline_timer_.setSingleShot(true);
-    connect(&deadline_timer_, &QTimer::timeout, this,
-        [this] { check_deadlines(); });
+    connect(&deadline_timer_, &QTimer::timeout, this, [this] {
+        guard_callback(
+            "questions to gates", [this] { check_deadlines(); },
+            [this] { deadline_timer_.start(deadline_interval); });
+    });
     sweep_timer_.setSingleShot(true);
-    connect(&sweep_timer_, &QTimer::timeout, this, [this] { sweep(); });
+    connect(&sweep_timer_, &QTimer::timeout, this, [this] {
+        guard_callback(
+            "sweep of the gates", [this] { sweep(); },
+            [this] { sweep_timer_.start(deadline_interval); });
+    });
 }
 
 void gate_service::start()
@@ -168,8 +176,11 @@
     if (target == settings_.peers) {
         // Handled in the next turn of the event loop: `request_slot` must
         // return the number before the reply arrives.
-        QTimer::singleShot(
-            0, this, [this, message, target] { on_message(message, target); });
+        QTimer::singleShot(0, this, [this, message, target] {
+            guard_callback(
+                "message to a gate of this instance",
+                [&] { on_message(message, target); }, [] {});
+        });
         return;
     }
     const std::vector<std::uint8_t> bytes = json::to_cbor(message);
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -44,6 +44,13 @@
     // `earlier_leases_end` on.
     void on_predecessor_stopped(time_point earlier_leases_end);
 
+    // Sets the function that is called when the work of the coordinator has
+    // failed, so that it must not go on. It must not destroy this object.
+    void on_failure(std::function<void()> callback)
+    {
+        on_failure_ = std::move(callback);
+    }
+
     // The store was restored from an older copy, and this coordinator keeps its
     // lease. Keys may have been granted by another one until
     // `unseen_grants_end`.
@@ -128,6 +135,7 @@
     bool others_unseen_ = false;
     time_point lease_end_ = time_point::max();
     std::function<time_point()> clock_;
+    std::function<void()> on_failure_ = [] {};
     // Tells the callbacks of open calls whether the controller still exists.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::map<service_id, service_ownership> services_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -6,6 +6,7 @@
 #include "router/status_page.hpp"
 
 #include <filberthub/routing/descriptor_limits.hpp>
+#include <filberthub/telemetry/callback_guard.hpp>
 #include <filberthub/telemetry/log.hpp>
 #include <filberthub/telemetry/rejected_input.hpp>
 
@@ -114,6 +115,9 @@
               memory_limits::of_process(settings.memory_bytes))),
           memory(metrics, *budget),
           rejected(metrics),
+          failed_callbacks(
+              metrics.add_counter("filberthub_failed_callbacks_total",
+                  "Events whose handling has failed. Each one is a fault.")),
           connections(descriptor_limits::of_process(descriptors_of(settings))),
           callers(settings, view, gates, metrics, budget, boot_time_now),
           role(
@@ -168,18 +172,26 @@
         const time_point now = boot_time_now();
         log_tick_delay(now);
         role.tick(now);
+        guard_callback(
+            "metrics", [&] { sweep(now); }, [] {});
+        if (shutdown)
+            check_leaving(now);
+    }
+
+    void sweep(time_point now)
+    {
         if (now >= next_sweep) {
             next_sweep = now + sweep_interval;
             callers.sweep();
             memory.update();
             rejected.update();
+            failed_callbacks.add(
+                failed_callback_count() - failed_callbacks.value());
         }
         if (now >= next_rotate) {
             next_rotate = now + metric_window;
             metrics.rotate();
         }
-        if (shutdown)
-            check_leaving(now);
     }
 
     void log_tick_delay(time_point now)
@@ -227,6 +239,7 @@
     std::shared_ptr<memory_budget> budget;
     memory_metrics memory;
     rejected_input_metrics rejected;
+    counter& failed_callbacks;
     descriptor_limits connections;
     caller_service callers;
     fleet_role role;
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -1,7 +1,6 @@
 #include "router/store_session.hpp"
 
-#include <filberthub/telemetry/log.hpp>
-#include <filberthub/telemetry/rejected_input.hpp>
+#include <filberthub/telemetry/callback_guard.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -12,18 +11,6 @@
 using platform_api::object_kind;
 using platform_api::store_outcome;
 
-// How long the store may hold a watch call open. Each call is billed, which
-// favors a long time; a dead connection is detected only after it.
-constexpr milliseconds watch_wait{3'000};
-// The wait of the first watch call from a known revision. Its answer shows that
-// there were no other changes.
-constexpr milliseconds first_watch_wait{1};
-// Time that a reply may take beyond the waiting time of a watch call.
-constexpr milliseconds watch_slack{700};
-// The store answers within a few milliseconds, or a few hundred while it is
-// slow.
-constexpr milliseconds call_timeout{900};
-constexpr milliseconds initial_retry_delay{150};
 constexpr std::size_t call_connections = 4;
 constexpr std::size_t watch_connections = 4;
 
@@ -38,211 +25,6 @@
 
 } // namespace
 
-store_watch::store_watch(object_kind kind, http_client& client, counter& calls,
-    reply_epochs& epochs, std::function<void(const watch_update&)> callback)
-    : kind_(kind),
-      client_(client),
-      calls_(calls),
-      epochs_(epochs),
-      callback_(std::move(callback))
-{
-    retry_timer_.setSingleShot(true);
-    connect(&retry_timer_, &QTimer::timeout, this, [this] { send_next(); });
-}
-
-void store_watch::start(std::uint64_t known_revision)
-{
-    if (started_)
-        return;
-    started_ = true;
-    if (known_revision > 0) {
-        revision_ = known_revision;
-        resuming_ = true;
-    }
-    send_next();
-}
-
-void store_watch::stop()
-{
-    started_ = false;
-    retry_timer_.stop();
-    if (open_call_)
-        client_.cancel(*open_call_);
-    open_call_.reset();
-    failures_ = 0;
-    revision_.reset();
-    resuming_ = false;
-    listed_objects_.clear();
-    list_cursor_.clear();
-}
-
-void store_watch::list_again()
-{
-    if (!started_)
-        return;
-    ++restarts_;
-    retry_timer_.stop();
-    if (open_call_)
-        client_.cancel(*open_call_);
-    open_call_.reset();
-    revision_.reset();
-    resuming_ = false;
-    listed_objects_.clear();
-    list_cursor_.clear();
-    send_next();
-}
-
-void store_watch::send_next()
-{
-    if (!started_ || open_call_)
-        return;
-    if (revision_) {
-        const milliseconds wait = resuming_ ? first_watch_wait : watch_wait;
-        if (!epochs_.known().is_current(*revision_)) {
-            list_again();
-            return;
-        }
-        send(platform_api::watch_call(
-                 kind_, epochs_.plain_revision(*revision_), wait),
-            wait + watch_slack, false);
-    } else {
-        send(platform_api::list_call(kind_, list_cursor_), call_timeout, true);
-    }
-}
-
-void store_watch::send(http_request request, milliseconds timeout, bool listing)
-{
-    calls_.add();
-    open_call_ = client_.send(
-        std::move(request), timeout, [this, listing](http_result result) {
-            open_call_.reset();
-            on_reply(std::move(result), listing);
-        });
-}
-
-void store_watch::retry(const std::string& reason)
-{
-    kind_absent_ = false;
-    if (failures_++ == 0) {
-        log_event(log_level::warn, "watch of the store failed",
-            {{"kind", platform_api::kind_name(kind_)},
-                {log_key::error, reason}});
-    }
-    const milliseconds wait =
-        std::min(initial_retry_delay * (1U << std::min(failures_ - 1, 4U)),
-            timing_.max_retry_delay);
-    retry_timer_.start(wait);
-}
-
-void store_watch::on_reply(http_result result, bool listing)
-{
-    if (!result.response) {
-        retry(result.message);
-        return;
-    }
-    const std::uint64_t restarts = restarts_;
-    if (!epochs_.accept(*result.response)) {
-        retry("reply of an earlier epoch");
-        return;
-    }
-    // The reply may be of another epoch than the pages or the revision before.
-    if (restarts != restarts_)
-        return;
-    if (revision_ && !epochs_.known().is_current(*revision_)) {
-        list_again();
-        return;
-    }
-    const std::string status =
-        "status " + std::to_string(result.response->status);
-    switch (platform_api::outcome_of(*result.response)) {
-    case store_outcome::done:
-        try {
-            on_page(result.response->body, listing);
-        } catch (const error& failure) {
-            log_event(log_level::warn, "malformed reply from the store",
-                {{log_key::error, failure.what()}});
-            retry(failure.what());
-        }
-        return;
-    case store_outcome::history_gone:
-        log_event(log_level::info,
-            "store no longer has the watch history; reading all objects",
-            {{"kind", platform_api::kind_name(kind_)}});
-        revision_.reset();
-        resuming_ = false;
-        send_next();
-        return;
-    case store_outcome::not_found:
-        if (listing) {
-            // The store has no objects of this kind.
-            const std::uint64_t none = combined_revision(epochs_.current(), 0);
-            callback_({kind_, true, {}, none, failures_ > 0});
-        }
-        revision_.reset();
-        resuming_ = false;
-        retry(status);
-        kind_absent_ = listing;
-        return;
-    default:
-        retry(status);
-    }
-}
-
-void store_watch::on_page(const std::string& body, bool listing)
-{
-    watch_update update;
-    update.kind = kind_;
-    update.after_outage = failures_ > 0;
-    if (failures_ > 0) {
-        log_event(log_level::info, "watch of the store recovered",
-            {{"kind", platform_api::kind_name(kind_)},
-                {"failures", failures_}});
-        failures_ = 0;
-    }
-    platform_api::store_page page =
-        listing ? platform_api::decode_list(kind_, body, epochs_.current())
-                : platform_api::decode_events(kind_, body, epochs_.current());
-    if (page.unreadable_objects > 0)
-        count_rejected(rejected_input::object_name, page.unreadable_objects);
-    if (page.unreadable_objects > 0 && !unreadable_logged_) {
-        log_event(log_level::warn, "objects of the store cannot be read",
-            {{"kind", platform_api::kind_name(kind_)},
-                {"objects", page.unreadable_objects},
-                {log_key::error, page.first_failure}});
-    }
-    unreadable_logged_ = page.unreadable_objects > 0;
-    if (!listing) {
-        update.resumed = std::exchange(resuming_, false);
-        update.objects = std::move(page.objects);
-        update.store_revision = page.store_revision;
-        revision_ = std::max(*revision_, page.store_revision);
-        callback_(update);
-        if (update.objects.empty() || timing_.event_pause.count() == 0)
-            send_next();
-        else if (started_)
-            retry_timer_.start(timing_.event_pause);
-        return;
-    }
-    listed_objects_.insert(listed_objects_.end(),
-        std::make_move_iterator(page.objects.begin()),
-        std::make_move_iterator(page.objects.end()));
-    if (list_cursor_.empty())
-        list_revision_ = page.store_revision;
-    if (page.next) {
-        list_cursor_ = *page.next;
-        send_next();
-        return;
-    }
-    list_cursor_.clear();
-    update.complete = true;
-    update.objects = std::move(listed_objects_);
-    listed_objects_.clear();
-    update.store_revision = list_revision_;
-    revision_ = list_revision_;
-    callback_(update);
-    send_next();
-}
-
 store_session::store_session(const endpoint& address, metric_registry& metrics,
     const std::function<void(const watch_update&)>& on_update,
     std::function<time_point()> clock)
@@ -340,29 +122,40 @@
         lease_->stop();
 }
 
+// Returns what a call has led to, and records the contact with the store.
+store_outcome store_session::outcome_of(const http_result& result, bool writes,
+    store_epoch sent_in, time_point sent)
+{
+    if (!result.response || !epochs_.accept(*result.response))
+        return store_outcome::unknown;
+    // The condition of the write named a revision of another history.
+    if (writes && sent_in != epoch())
+        return store_outcome::unknown;
+    const store_outcome outcome = platform_api::outcome_of(*result.response);
+    if (outcome != store_outcome::refused && outcome != store_outcome::unknown)
+        last_contact_ = sent;
+    return outcome;
+}
+
 void store_session::call(http_request request, store_reply_callback callback)
 {
     calls_.add();
     const time_point sent = clock_();
     const bool writes = request.method != "GET";
-    calls_client_.send(std::move(request), call_timeout,
+    calls_client_.send(std::move(request), store_call_timeout,
         [this, sent, writes, epoch = epoch(), callback = std::move(callback)](
             http_result result) {
-            if (!result.response || !epochs_.accept(*result.response)) {
-                callback(store_outcome::unknown, {});
-                return;
-            }
-            // The condition of the write named a revision of another history.
-            if (writes && epoch != this->epoch()) {
-                callback(store_outcome::unknown, {});
-                return;
-            }
-            const store_outcome outcome =
-                platform_api::outcome_of(*result.response);
-            if (outcome != store_outcome::refused &&
-                outcome != store_outcome::unknown)
-                last_contact_ = sent;
-            callback(outcome, result.response->body);
+            guard_callback(
+                "reply of the store",
+                [&] {
+                    const store_outcome outcome =
+                        outcome_of(result, writes, epoch, sent);
+                    callback(outcome, outcome == store_outcome::unknown
+                                          ? std::string()
+                                          : result.response->body);
+                },
+                // The object is then read, or the call made again.
+                [&] { callback(store_outcome::unknown, {}); });
         });
 }
 
--- a/src/router/store_session.hpp
+++ b/src/router/store_session.hpp
@@ -21,6 +21,10 @@
 
 namespace filberthub {
 
+// Time limit of a call that does not wait for changes. The store answers within
+// a few milliseconds, or a few hundred while it is slow.
+inline constexpr milliseconds store_call_timeout{900};
+
 // Objects that a watch reports.
 struct watch_update
 {
@@ -132,6 +136,7 @@
     void send(http_request request, milliseconds timeout, bool listing);
     void on_reply(http_result result, bool listing);
     void on_page(const std::string& body, bool listing);
+    void restart_after_failure();
     void retry(const std::string& reason);
 
     platform_api::object_kind kind_;
@@ -191,6 +196,7 @@
     // Makes one call. The callback gets the outcome `unknown` if the store does
     // not answer in time, and also for a write that was sent in an earlier
     // epoch than that of its reply. The epoch of any other reply is `epoch()`.
+    // A callback that throws is called once more, with the outcome `unknown`.
     void call(http_request request, store_reply_callback callback);
 
     // The latest epoch that a reply of the store has shown.
@@ -225,6 +231,8 @@
 
 private:
     void on_risen_epoch(store_epoch epoch);
+    platform_api::store_outcome outcome_of(const http_result& result,
+        bool writes, store_epoch sent_in, time_point sent);
 
     std::function<time_point()> clock_;
     counter& calls_;
