Count the age of a view from when answered calls were sent

Cause: each answer to a watch counted as contact at the time of its arrival, also one to a call from before the cut. The next call of another watch was lost, which shows only at its time-out of 3.7 s. Until then the coordinator told the others that its view was new, so that they neither read the store nor took over.

Ruled out: the lease, which counts from the sending of its last confirmed write.

Change: contact counts from when the answered call was sent, for watches as for other calls. The renewals of the lease (0.6 s) keep the age of a coordinator below its bound without further calls. Whether the store is reachable at all is judged by the last answer, for instances that have only watches.

--- a/src/router/fleet_role.cpp
+++ b/src/router/fleet_role.cpp
@@ -363,7 +363,9 @@
         inquiry_.ask(peers_to_ask(), now);
     // While the store does not answer the watch of the lease, calls for all
     // other objects would be refused as well, and each call is billed.
-    const bool reachable = store_age(now) < max_reachable_store_age;
+    const auto last_answer = store_.last_answer();
+    const bool reachable =
+        last_answer && now < *last_answer + max_reachable_store_age;
     if (!reachable)
         store_.stop_deployment_watches();
     else if (now >=
--- a/src/router/store_session.cpp
+++ b/src/router/store_session.cpp
@@ -38,7 +38,7 @@
 {
     const auto record_update = [this, on_update](watch_update update) {
         const time_point now = clock_();
-        last_contact_ = now;
+        note_answer(update.sent_at);
         const auto [reply, is_new] =
             last_replies_.try_emplace(update.kind, time_point{});
         // The watch has just started, or the history was gone, so changes may
@@ -51,13 +51,19 @@
     for (const object_kind kind : {object_kind::configuration,
              object_kind::server, object_kind::evacuation}) {
         deployment_.push_back(std::make_unique<store_watch>(
-            kind, watch_client_, calls_, epochs_, record_update));
+            kind, watch_client_, calls_, epochs_, record_update, clock_));
     }
     lease_ = std::make_unique<store_watch>(object_kind::coordinator_lease,
-        watch_client_, calls_, epochs_, record_update);
+        watch_client_, calls_, epochs_, record_update, clock_);
     epochs_.on_risen([this](store_epoch epoch) { on_risen_epoch(epoch); });
 }
 
+void store_session::note_answer(time_point sent)
+{
+    last_answer_ = clock_();
+    last_contact_ = std::max(last_contact_.value_or(sent), sent);
+}
+
 void store_session::on_risen_epoch(store_epoch epoch)
 {
     if (on_epoch_)
@@ -133,7 +139,7 @@
         return store_outcome::unknown;
     const store_outcome outcome = platform_api::outcome_of(*result.response);
     if (outcome != store_outcome::refused && outcome != store_outcome::unknown)
-        last_contact_ = sent;
+        note_answer(sent);
     return outcome;
 }
 
--- a/src/router/store_session.hpp
+++ b/src/router/store_session.hpp
@@ -40,6 +40,8 @@
     bool resumed = false;
     // Present if changes since this time were possibly not reported before.
     std::optional<time_point> changes_missed_since;
+    // When the answered call was sent.
+    time_point sent_at;
 };
 
 // The delays between the calls of a watch.
@@ -98,7 +100,8 @@
 public:
     store_watch(platform_api::object_kind kind, http_client& client,
         counter& calls, reply_epochs& epochs,
-        std::function<void(const watch_update&)> callback);
+        std::function<void(const watch_update&)> callback,
+        std::function<time_point()> clock);
 
     // Reports the changes since this combined revision of the store; all
     // objects if it is 0.
@@ -144,10 +147,13 @@
     counter& calls_;
     reply_epochs& epochs_;
     std::function<void(const watch_update&)> callback_;
+    std::function<time_point()> clock_;
     QTimer retry_timer_;
     watch_timing timing_;
     bool started_ = false;
     std::optional<call_number> open_call_;
+    // When the last call was sent.
+    time_point sent_at_;
     // Number of calls of `list_again`.
     std::uint64_t restarts_ = 0;
     // Revision up to which changes were reported. Present once a complete list
@@ -219,18 +225,27 @@
         return combined_revision(epoch(), 0);
     }
 
-    // Returns the time up to which all changes of the deployment were reported.
+    // Returns the time up to which all changes of the deployment are known to
+    // have been reported.
     time_point complete_until(time_point now) const;
 
-    // Returns when the store was last known to answer: the time of the last
-    // watch reply, or the time at which the last answered call was sent.
+    // Returns when the last answered call was sent. Calls are known to have
+    // reached the store until then. The time of an answer proves nothing about
+    // them: a watch is answered also after the link to the store has failed in
+    // the direction of the calls.
     std::optional<time_point> last_contact() const
     {
         return last_contact_;
     }
+    // Returns when the last answer has arrived.
+    std::optional<time_point> last_answer() const
+    {
+        return last_answer_;
+    }
 
 private:
     void on_risen_epoch(store_epoch epoch);
+    void note_answer(time_point sent);
     platform_api::store_outcome outcome_of(const http_result& result,
         bool writes, store_epoch sent_in, time_point sent);
 
@@ -243,6 +258,7 @@
     std::vector<std::unique_ptr<store_watch>> deployment_;
     std::unique_ptr<store_watch> lease_;
     std::optional<time_point> last_contact_;
+    std::optional<time_point> last_answer_;
     // Time of the last reply to the watch of each kind.
     std::map<platform_api::object_kind, time_point> last_replies_;
 };
--- a/src/router/store_watch.cpp
+++ b/src/router/store_watch.cpp
@@ -28,12 +28,14 @@
 } // namespace
 
 store_watch::store_watch(object_kind kind, http_client& client, counter& calls,
-    reply_epochs& epochs, std::function<void(const watch_update&)> callback)
+    reply_epochs& epochs, std::function<void(const watch_update&)> callback,
+    std::function<time_point()> clock)
     : kind_(kind),
       client_(client),
       calls_(calls),
       epochs_(epochs),
-      callback_(std::move(callback))
+      callback_(std::move(callback)),
+      clock_(std::move(clock))
 {
     retry_timer_.setSingleShot(true);
     connect(&retry_timer_, &QTimer::timeout, this, [this] { send_next(); });
@@ -103,6 +105,7 @@
 void store_watch::send(http_request request, milliseconds timeout, bool listing)
 {
     calls_.add();
+    sent_at_ = clock_();
     open_call_ = client_.send(
         std::move(request), timeout, [this, listing](http_result result) {
             open_call_.reset();
@@ -185,7 +188,9 @@
         if (listing) {
             // The store has no objects of this kind.
             const std::uint64_t none = combined_revision(epochs_.current(), 0);
-            callback_({kind_, true, {}, none, failures_ > 0});
+            watch_update update{kind_, true, {}, none, failures_ > 0};
+            update.sent_at = sent_at_;
+            callback_(update);
         }
         revision_.reset();
         resuming_ = false;
@@ -201,6 +206,7 @@
 {
     watch_update update;
     update.kind = kind_;
+    update.sent_at = sent_at_;
     update.after_outage = failures_ > 0;
     if (failures_ > 0) {
         log_event(log_level::info, "watch of the store recovered",
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -113,6 +113,12 @@
         after_page_ = std::move(after_page);
     }
 
+    // Whether calls get no answer. Watches that are open are answered.
+    void set_silent(bool silent)
+    {
+        silent_ = silent;
+    }
+
     // Whether calls are answered with status 503.
     void set_failing(bool failing)
     {
@@ -213,6 +219,10 @@
     void handle(std::shared_ptr<http_exchange> exchange)
     {
         const http_request& request = exchange->request();
+        if (silent_) {
+            unanswered_.push_back(std::move(exchange));
+            return;
+        }
         if (failing_) {
             exchange->respond(make_response(503, json::object()));
             return;
@@ -284,6 +294,8 @@
     std::vector<open_watch> watches_;
     std::uint64_t revision_ = 100;
     bool failing_ = false;
+    bool silent_ = false;
+    std::vector<std::shared_ptr<http_exchange>> unanswered_;
     std::string epoch_;
     std::size_t page_size_ = 1'000;
     std::function<void()> after_page_;
