Let the soak play odd entries, spoiled handovers and unfinished requests

Three faults play them in series: another_writer_leaves_entries, servers_spoil_handovers and callers_stop_in_requests. They are chosen only by name, so that earlier seeds keep their faults; if faults are named, those with weight 0 count as 1, as they did when only such ones were named.

--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -316,6 +316,88 @@
             server.corruption = None
 
 
+# Names that no server has. The last one makes a page of a list by its length.
+ODD_NAMES = ["i-odd\n", "i-odd\r\nX: y", " i-odd", "i odd", "i-\u00e5",
+             "i-\u0000", "i-odd?after=z", "i-" + "x" * 5000]
+
+
+def odd_entry(run):
+    """Returns an entry that another writer may leave: the copy of that of a
+    server, with a field that is missing, of another type or of another server."""
+    server, other = run.random.sample(run.servers, 2)
+    entry = server.entry()
+    match run.random.randrange(4):
+        case 0:
+            del entry[run.random.choice(sorted(entry))]
+        case 1:
+            entry[run.random.choice(sorted(entry))] = run.random.choice(
+                [None, [], {}, -1, 1e300, "", "\n", "\u00e5", "x" * 500])
+        case 2:
+            entry["Service"] = other.service
+            entry["born"] += run.random.randrange(3)
+        case _:
+            entry["born"] += run.random.randrange(3)
+    return entry
+
+
+# The three faults below are chosen only if they are named, so that the seeds of
+# earlier runs keep their faults.
+@fault(0)
+async def another_writer_leaves_entries(run):
+    """Writes, changes and removes odd entries among those of the servers."""
+    names = [run.random.choice(ODD_NAMES), "i-mirror", "i-mirror-2"]
+    with record_disturbance(run, "servers"):
+        for _ in range(run.random.randrange(4, 16)):
+            name = run.random.choice(names)
+            if run.random.random() < 0.3:
+                run.store.delete("servers", name)
+            else:
+                run.store.put("servers", name, odd_entry(run))
+            await sleep_random(run, 0.02, 0.5)
+        for name in names:
+            run.store.delete("servers", name)
+        # Requests for keys of a server that has never existed are refused until
+        # the keys have moved back.
+        await asyncio.sleep(4)
+
+
+@fault(0)
+async def servers_spoil_handovers(run):
+    """Spoils the handover of keys while servers drain, so that keys move."""
+    keyed = [server for server in run.servers if server.keyed]
+    with record_disturbance(run, "servers"):
+        for server in keyed:
+            server.spoiled_handover = run.random.choice(
+                ["\xff\xfe", "\x80", "a\xc3", "x" * 9000])
+        leaving = run.random.choice([s for s in keyed if s.state == "ready"]
+                                    or keyed)
+        await leaving.drain()
+        if not leaving.up:
+            await leaving.start()
+        await asyncio.sleep(1)
+        for server in keyed:
+            server.spoiled_handover = ""
+
+
+@fault(0)
+async def callers_stop_in_requests(run):
+    """Sends requests in part, waits and closes, or closes at once."""
+    parts = [b"GET /map-re", b"GET / HTTP/1.1\r\nHost: maps.exa",
+             b"POST / HTTP/1.1\r\nHost: maps.example\r\nContent-Length: 90"
+             b"\r\n\r\nabc",
+             b"POST / HTTP/1.1\r\nHost: maps.example\r\nTransfer-Encoding: "
+             b"chunked\r\n\r\n5\r\nab"]
+
+    async def stop_in_request(router):
+        with contextlib.suppress(OSError):
+            _, writer = await asyncio.open_connection(*router.caller_address)
+            writer.write(run.random.choice(parts))
+            await sleep_random(run, 0, 3)
+            writer.close()
+    await asyncio.gather(*[stop_in_request(router)
+                           for router in active_routers(run) * 3])
+
+
 @fault()
 async def servers_apply_orders_late(run):
     with record_disturbance(run, "servers"):
@@ -382,9 +464,8 @@
 async def inject_faults(run, seconds, only=None):
     """Starts faults for `seconds` and returns when all have ended."""
     names = [name for name in FAULTS if only is None or name in only]
-    weights = [FAULTS[name][1] for name in names]
-    if not any(weights):
-        weights = [1] * len(names)
+    # Those that are chosen only by name count like the others then.
+    weights = [FAULTS[name][1] or (only is not None) for name in names]
     end = run.now() + seconds
     active_faults = set()
     while run.now() < end:
--- a/scripts/soak/servers.py
+++ b/scripts/soak/servers.py
@@ -45,6 +45,8 @@
         self.corruption_share = 0.0
         # Share of commands that are executed late and not answered.
         self.delayed_command_share = 0.0
+        # Sent with released keys in place of a handover, unless it is empty.
+        self.spoiled_handover = ""
         # Whether its entry expires while it keeps serving.
         self.cut_from_store = False
         self._listener = None
@@ -121,7 +123,7 @@
                 return since
         return None
 
-    def _entry(self):
+    def entry(self):
         return {"Service": self.service, "Address": self.address,
                 "Zone": self.zone, "Version": "v1", "Capacity": SLOTS,
                 "State": self.state, "Sequence": 0, "born": self.started_at_ms,
@@ -130,7 +132,7 @@
 
     def _publish_entry(self):
         return not self.cut_from_store and self.run.store.heartbeat(
-            self.id, self._entry(), self.run.now())
+            self.id, self.entry(), self.run.now())
 
     async def _send_heartbeats(self):
         while True:
@@ -238,8 +240,10 @@
         while any(first <= key <= last
                   for key in self.keys_in_progress.values()):
             await asyncio.sleep(0.01)
-        return http1.encode_answer(
-            200, {"X-Filberthub-Handover": f"{self.random.getrandbits(64):x}"})
+        handover = f"{self.random.getrandbits(64):x}"
+        if self.spoiled_handover:
+            handover = self.spoiled_handover
+        return http1.encode_answer(200, {"X-Filberthub-Handover": handover})
 
     def _grants_outside(self, first, last):
         """Returns the grants with a range of keys cut out of them."""
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -27,6 +27,8 @@
 bash scripts/soak.sh --seed 3 --scarce-connections \
     --only slow_servers_leave_and_stay
 bash scripts/soak.sh --seed 1 --only server_links_heal
+bash scripts/soak.sh --seed 1 --only another_writer_leaves_entries \
+    servers_spoil_handovers callers_stop_in_requests routers_killed
 bash scripts/check_deploy.sh
 # Last and one case at a time, because other load changes what clients hold.
 bash scripts/memory.sh
