--- a/test/platform_adapter/adapter_test.cpp
+++ b/test/platform_adapter/adapter_test.cpp
@@ -192,24 +192,42 @@
         {"", "null", "7", "[]", "{}", "\xff\xfe",
             R"({"Service":"x","Address":"10.0.0.9:8080","Zone":"a"})",
             R"({"Service":"x","Address":"10.0.0.9","Zone":"a","Capacity":2,
-                "State":"ready"})",
+                "State":"ready","Version":"v1","Sequence":1,"WarmupLeftMs":0})",
             R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":"2",
-                "State":"ready"})",
+                "State":"ready","Version":"v1","Sequence":1,"WarmupLeftMs":0})",
             R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":2,
-                "State":"resting"})",
+                "State":"resting","Version":"v1","Sequence":1,"WarmupLeftMs":0})",
             R"({"Service":5,"Address":"10.0.0.9:80","Zone":"a","Capacity":2,
-                "State":"ready"})"})
+                "State":"ready","Version":"v1","Sequence":1,"WarmupLeftMs":0})"})
         EXPECT_THROW(decode_server(backend_server_id("i-1"), text), error)
             << text;
 }
 
+// Guards against requests to a server that nobody has registered: the entry of
+// another writer lacks a field or has one of another type.
+TEST(decode_server_test, RequiresEachFieldOfAnEntry)
+{
+    const json complete = {{"Service", "x"}, {"Address", "10.0.0.9:80"},
+        {"Zone", "a"}, {"Version", "v1"}, {"Capacity", 2}, {"State", "ready"},
+        {"WarmupLeftMs", 0}, {"Sequence", 4}};
+    const backend_server_id id("i-1");
+    EXPECT_NO_THROW(decode_server(id, complete.dump()));
+    for (const auto& [field, value] : complete.items()) {
+        json entry = complete;
+        entry.erase(field);
+        EXPECT_THROW(decode_server(id, entry.dump()), error) << field;
+        entry[field] = json::array();
+        EXPECT_THROW(decode_server(id, entry.dump()), error) << field;
+    }
+}
+
 // Guards against a server that nobody can connect to, and against times whose
 // sums overflow.
 TEST(decode_server_test, RefusesValuesOutOfRange)
 {
     const auto entry = [](const std::string& address, const std::string& cold) {
         return R"({"Service":"x","Address":")" + address +
-               R"(","Zone":"a","Capacity":2,"State":"ready","WarmupLeftMs":)" +
+               R"(","Zone":"a","Capacity":2,"State":"ready","Version":"v1","Sequence":1,"WarmupLeftMs":)" +
                cold + "}";
     };
     EXPECT_NO_THROW(
@@ -240,7 +258,7 @@
         R"({"Address":"10.0.0.9:99999"})", "{\"a\"}", "[1,,2]",
         "\"" + std::string(100'000, 'x') + "\"",
         R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":2,
-            "State":"ready","Odd":)" +
+            "State":"ready","Version":"v1","Sequence":1,"WarmupLeftMs":0,"Odd":)" +
             nested(100'000) + "}"};
 }
 
@@ -250,7 +268,7 @@
 {
     const std::string good =
         R"({"Service":"x","Address":"10.0.0.9:80","Zone":"a","Capacity":2,
-            "State":"ready"})";
+            "State":"ready","Version":"v1","Sequence":1,"WarmupLeftMs":0})";
     for (const std::string& odd : odd_contents()) {
         const std::string objects =
             R"({"Metadata":{"Name":"odd","Revision":6},"Spec":)" + odd +
@@ -358,7 +376,8 @@
     for (const std::string& name : odd_names()) {
         for (const char* field : {"Service", "Zone"}) {
             json entry = {{"Service", "x"}, {"Address", "10.0.0.9:80"},
-                {"Zone", "a"}, {"Capacity", 2}, {"State", "ready"}};
+                {"Zone", "a"}, {"Capacity", 2}, {"State", "ready"},
+                {"Version", "v1"}, {"Sequence", 1}, {"WarmupLeftMs", 0}};
             entry[field] = json::parse('"' + name + '"');
             EXPECT_THROW(
                 decode_server(backend_server_id("i-1"), entry.dump()), error)
@@ -376,7 +395,7 @@
         R"({"items":[{"Metadata":{"Name":"i-1","Revision":7},"Spec":{"a":1}}],
             "HasMore":true,"StoreRevision":530})",
         R"({"Service":"x","Address":"10.0.0.9:8080","Zone":"a","Capacity":2,
-            "State":"draining","WarmupLeftMs":1500,"born":1769435630198})"};
+            "State":"draining","Version":"v1","Sequence":1,"WarmupLeftMs":1500,"born":1769435630198})"};
     const std::string letters = "[]{}\",:0123456789eE+-.\\ \xff";
     int decoded = 0;
     const auto attempt = [&](const auto& decode) {
--- a/test/router/caller_accounts_test.cpp
+++ b/test/router/caller_accounts_test.cpp
@@ -35,7 +35,7 @@
         store_.put("servers", "i-1",
             {{"Service", "edits"}, {"Address", to_string(server_.address())},
                 {"Zone", "a"}, {"Capacity", 4}, {"State", "ready"},
-                {"WarmupLeftMs", 0}});
+                {"WarmupLeftMs", 0}, {"Version", "v1"}, {"Sequence", 1}});
     }
 
     route_settings settings() const
--- a/test/router/feed_test.cpp
+++ b/test/router/feed_test.cpp
@@ -19,7 +19,8 @@
 {
     return {"server/i-1", object_version(version),
         json{{"Service", "maps"}, {"Address", "127.0.0.1:9"}, {"Zone", "a"},
-            {"Capacity", 2}, {"State", state}, {"WarmupLeftMs", 0}}
+            {"Capacity", 2}, {"State", state}, {"WarmupLeftMs", 0},
+            {"Version", "v1"}, {"Sequence", 1}}
             .dump()};
 }
 
--- a/test/router/fleet_role_test.cpp
+++ b/test/router/fleet_role_test.cpp
@@ -315,7 +315,7 @@
     store_.put("servers", "i-1",
         {{"Service", "maps"}, {"Address", to_string(server.address())},
             {"Zone", "a"}, {"Capacity", 2}, {"State", "ready"},
-            {"WarmupLeftMs", 0}});
+            {"WarmupLeftMs", 0}, {"Version", "v1"}, {"Sequence", 1}});
     milliseconds skipped{0};
     const auto later_now = [&] { return now() + skipped; };
     deployment_view view(settings_);
--- a/test/router/fleet_timing_test.cpp
+++ b/test/router/fleet_timing_test.cpp
@@ -210,7 +210,8 @@
         text.str("");
         const json entry{{"Service", "maps"}, {"Address", "127.0.0.1:9"},
             {"Zone", "a"}, {"Capacity", 2}, {"State", state},
-            {"WarmupLeftMs", 1'000 - version}};
+            {"WarmupLeftMs", 1'000 - version}, {"Version", "v1"},
+            {"Sequence", 1}};
         view.update(
             {"server/i-1", object_version(++version), entry.dump()}, now);
         const std::string logged = text.str();
--- a/test/router/ownership_controller_test.cpp
+++ b/test/router/ownership_controller_test.cpp
@@ -56,7 +56,8 @@
             {"server/" + id, object_version(version),
                 json{{"Service", "maps"}, {"Zone", "a"},
                     {"Address", to_string(address)}, {"Capacity", 2},
-                    {"State", "ready"}, {"WarmupLeftMs", 0}, {"born", started}}
+                    {"State", "ready"}, {"WarmupLeftMs", 0}, {"Version", "v1"},
+                    {"Sequence", 1}, {"born", started}}
                     .dump()},
             now());
     }
--- a/test/router/restored_objects_test.cpp
+++ b/test/router/restored_objects_test.cpp
@@ -25,7 +25,7 @@
     return {"server/a", version,
         json{{"Service", "maps"}, {"Zone", "a"}, {"Address", "127.0.0.1:7001"},
             {"Capacity", 2}, {"State", state}, {"WarmupLeftMs", 0},
-            {"born", started}}
+            {"Version", "v1"}, {"Sequence", 1}, {"born", started}}
             .dump()};
 }
 
--- a/test/router/router_test.cpp
+++ b/test/router/router_test.cpp
@@ -66,7 +66,7 @@
         store_.put("servers", "i-1",
             {{"Service", "edits"}, {"Address", to_string(server_.address())},
                 {"Zone", "a"}, {"Capacity", slots}, {"State", state},
-                {"WarmupLeftMs", 0}});
+                {"WarmupLeftMs", 0}, {"Version", "v1"}, {"Sequence", 1}});
     }
 
     // Sends three requests, of which one has to wait for a connection.
--- a/test/router/server_answers_test.cpp
+++ b/test/router/server_answers_test.cpp
@@ -75,7 +75,8 @@
         store_.put("servers", "i-1",
             {{"Service", "edits"}, {"Address", to_string(server_.address())},
                 {"Zone", "a"}, {"Capacity", slots}, {"State", "ready"},
-                {"WarmupLeftMs", 0}, {"born", born}});
+                {"WarmupLeftMs", 0}, {"Version", "v1"}, {"Sequence", 1},
+                {"born", born}});
     }
 
     // Sends a request and returns the answer of the router.
--- a/test/router/store_epoch_test.cpp
+++ b/test/router/store_epoch_test.cpp
@@ -21,7 +21,7 @@
 {
     return {{"Service", "maps"}, {"Zone", "a"}, {"Address", "127.0.0.1:7001"},
         {"Capacity", 2}, {"State", state}, {"WarmupLeftMs", 0},
-        {"born", started}};
+        {"Version", "v1"}, {"Sequence", 1}, {"born", started}};
 }
 
 // A session that merges what it reads into a cache.
