--- a/test/net/accept_failure_test.cpp
+++ b/test/net/accept_failure_test.cpp
@@ -40,7 +40,7 @@
 
 // Guards against an instance that says it is ready and takes no new connection:
 // Qt pauses a listener after an error of `accept`.
-TEST(HttpListener, AcceptsAgainAfterAShortageOfDescriptors)
+TEST(AcceptFailure, IsFollowedByFurtherAccepts)
 {
     int arrived = 0;
     http_listener listener(
