Initialize the start of quota shares from a known value

Accounts of a fleet would be refused within their quota for a random time after a change of the coordinator.

Cause: the constructor of quota_allocator computes the time from which it gives shares from window_, which is declared later and thus not initialized yet.

Change: it uses the value that window_ gets.

Evidence: quota_allocator_test.StartsInMemoryOfAnyContent fails on the library before.

--- a/src/routing/quota_allocator.cpp
+++ b/src/routing/quota_allocator.cpp
@@ -86,7 +86,9 @@
 
 quota_allocator::quota_allocator(
     std::uint64_t run, time_point earlier_leases_end)
-    : run_(run), allocates_from_(earlier_leases_end + quota_lease + window_)
+    : run_(run),
+      // `window_` is declared, and thus initialized, after this member.
+      allocates_from_(earlier_leases_end + quota_lease + quota_window({}))
 {}
 
 void quota_allocator::shorten_earlier_leases(time_point end)
--- a/test/routing/quota_test.cpp
+++ b/test/routing/quota_test.cpp
@@ -3,7 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <cstddef>
+#include <new>
 #include <random>
 
 namespace filberthub {
@@ -245,6 +248,28 @@
     EXPECT_GE(fleet.admitted_part(), 0.9 * 0.2);
 }
 
+// Guards against a coordinator that gives no shares for a random time, so that
+// accounts are refused within their quota: its constructor used a member that
+// was not initialized yet.
+TEST(quota_allocator_test, StartsInMemoryOfAnyContent)
+{
+    alignas(quota_allocator) std::array<std::byte, sizeof(quota_allocator)>
+        memory{};
+    for (const auto content : {std::byte{0x00}, std::byte{0x7f}}) {
+        memory.fill(content);
+        auto* allocator = new (memory.data()) quota_allocator(1, time_point{});
+        quota_report report;
+        report.sequence = 1;
+        report.requests[account_name] = 1;
+        allocator->on_report(instance_id("i-1"), report, at(0));
+        allocator->advance(accounts_with(10, 5), quota_bounds{}, at(0), at(0));
+        const auto reply = allocator->reply_for(instance_id("i-1"), at(0));
+        ASSERT_TRUE(reply);
+        EXPECT_TRUE(reply->changes.contains(account_name));
+        allocator->~quota_allocator();
+    }
+}
+
 // Guards against a share that is used after its lease, and against a request
 // that is credited twice.
 TEST(account_quota_test, FallsBackWhenTheLeaseEnds)
