Go on accepting after a failed accept

Cause: Qt pauses a QTcpServer after an error of `accept`, and nothing resumed it, so that an instance which lacked a descriptor for a moment took no connection until its restart.

Change: the listener logs the error and resumes after 100 ms, unless it has been closed.

--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -4,6 +4,7 @@
 #include <filberthub/base/json_reader.hpp>
 #include <filberthub/net/http_listener.hpp>
 #include <filberthub/routing/descriptor_limits.hpp>
+#include <filberthub/telemetry/log.hpp>
 
 #include <QtCore/QTimer>
 #include <QtNetwork/QHostAddress>
@@ -15,6 +16,7 @@
 
 constexpr milliseconds sweep_interval{1000};
 constexpr int listen_backlog = 1024;
+constexpr milliseconds accept_retry_delay{100};
 
 } // namespace
 
@@ -52,6 +54,15 @@
     : options_(std::move(options)), handler_(std::move(handler))
 {
     setListenBacklogSize(listen_backlog);
+    // Qt pauses the listener then, for example for want of a descriptor.
+    connect(this, &QTcpServer::acceptError, this, [this] {
+        log_event(log_level::warn, "a connection could not be accepted",
+            {{log_key::error, errorString().toStdString()}});
+        QTimer::singleShot(accept_retry_delay, this, [this] {
+            if (isListening())
+                resumeAccepting();
+        });
+    });
     auto* timer = new QTimer(this);
     connect(timer, &QTimer::timeout, this, [this] { close_expired(); });
     timer->start(sweep_interval);
