Play restarts beside odd names that end a page of the list of servers

All processes were restarted, and almost no request was served while the entry stood.

Cause: the name after which a list goes on was put into the query as it was, so that the store read another name and gave out the same page again, or refused the call, and no process became ready. What was missing is a test that restarts processes beside such names: the store of the soak had neither the platform's pages (500 objects or 1 MB) nor its strict targets, and the fake store of router_test read the rest of a query as one value, so that it did not notice an & or a +.

Change: tests only. Both stores read a query as a form and the soak's refuses a target with a space; its lists have the pages of the platform. The fault routers_start_beside_odd_names leaves 520 small entries or two of 1 MB and kills all routers; the entries stay, so that the check of the served share applies beside them.

--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -321,6 +321,10 @@
              "i-\u0000", "i-odd?after=z", "i-" + "x" * 5000]
 
 
+# Characters with a meaning in a target, which a name may have too (RFC 3986, 2.2).
+RESERVED_CHARACTERS = " &+#%=?/;"
+
+
 def odd_entry(run):
     """Returns an entry that another writer may leave: the copy of that of a
     server, with a field that is missing, of another type or of another server."""
@@ -340,8 +344,32 @@
     return entry
 
 
-# The three faults below are chosen only if they are named, so that the seeds of
-# earlier runs keep their faults.
+# The faults below are chosen only if they are named, so that the seeds of earlier
+# runs keep their faults.
+@fault(0)
+async def routers_start_beside_odd_names(run):
+    """Leaves entries that name no server, so many or so large that the list of
+    servers has several pages, and starts all routers again. The entries stay
+    until the end of the run, so that callers have to be served beside them.
+
+    Their names have characters that a call for the next page has to encode.
+    """
+    prefix = run.random.choice(["copy of i", "i-kartl", "i-raddning-1", "z"])
+    size = run.random.choice([0, 1_040_000])
+    for number in range(2 if size else 520):
+        name = f"{prefix}{run.random.choice(RESERVED_CHARACTERS)}{number}"
+        run.store.put("servers", name, "?" * size if size else {
+            "Service": "kartlas", "State": "resting"})
+    routers = active_routers(run) or run.routers
+    with record_disturbance(run, "routers"):
+        for router in routers:
+            router.kill()
+        await sleep_random(run, 0.2, 1)
+        for router in routers:
+            router.start()
+        await asyncio.sleep(0.5)
+
+
 @fault(0)
 async def another_writer_leaves_entries(run):
     """Writes, changes and removes odd entries among those of the servers."""
--- a/scripts/soak/store.py
+++ b/scripts/soak/store.py
@@ -14,6 +14,9 @@
 HEARTBEAT_S = 0.87
 # The entry of a server is removed this long after its last heartbeat.
 ENTRY_LIFETIME_S = 3 * HEARTBEAT_S
+# Limits of a page of a list. A larger object has a page of its own.
+PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 
 class Store:
@@ -167,6 +170,9 @@
             writer.close()
 
     async def _handle_request(self, request):
+        # A space that is not encoded splits the target (RFC 9112, 3).
+        if request.start_line.count(" ") != 2:
+            return self._encode(400, {})
         if request.method != "GET":
             return self._write(request)
         path, _, query = request.target.partition("?")
@@ -180,12 +186,19 @@
         if "Watch" in parameters:
             return await self._watch(kind, int(parameters["Watch"]),
                                      int(parameters["WaitMs"]) / 1000)
-        names = sorted(self.objects.get(kind, {}))
-        names = [name for name in names if name > parameters.get("after", "")]
-        page = names[:50]
+        return self._list(kind, parameters.get("after", ""))
+
+    def _list(self, kind, after):
+        objects = self.objects.get(kind, {})
+        names = sorted(name for name in objects if name > after)
+        page, size = [], 0
+        for name in names[:PAGE_ITEMS]:
+            size += len(json.dumps(objects[name]))
+            if page and size > PAGE_BYTES:
+                break
+            page.append(objects[name])
         return self._encode(200, {
-            "items": [self.objects[kind][name] for name in page],
-            "HasMore": len(names) > len(page),
+            "items": page, "HasMore": len(names) > len(page),
             "StoreRevision": self.revision})
 
     async def _watch(self, kind, after, wait_s):
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -29,6 +29,8 @@
 bash scripts/soak.sh --seed 1 --only server_links_heal
 bash scripts/soak.sh --seed 1 --only another_writer_leaves_entries \
     servers_spoil_handovers callers_stop_in_requests routers_killed
+bash scripts/soak.sh --seed 11 --only routers_start_beside_odd_names \
+    routers_killed store_fails router_leaves configuration_changes
 bash scripts/check_deploy.sh
 # Last and one case at a time, because other load changes what clients hold.
 bash scripts/memory.sh
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -15,6 +15,7 @@
 #include <filberthub/net/http_listener.hpp>
 
 #include <QtCore/QByteArray>
+#include <QtCore/QUrlQuery>
 
 #include <functional>
 #include <map>
@@ -142,6 +143,19 @@
             .toStdString();
     }
 
+    // Returns a value of the query of a target, or an empty text. Reads it as a
+    // form, in which a plus sign stands for a space.
+    static std::string query_value(
+        const std::string& target, const std::string& name)
+    {
+        QString query =
+            QString::fromStdString(target).section('#', 0, 0).section('?', 1);
+        query.replace('+', "%20");
+        return QUrlQuery(query)
+            .queryItemValue(QString::fromStdString(name), QUrl::FullyDecoded)
+            .toStdString();
+    }
+
     static std::uint64_t number_in(
         const std::string& target, const std::string& field)
     {
@@ -264,11 +278,7 @@
                                   : make_response(200, found->second));
             return;
         }
-        const std::size_t query = request.target.find("after=");
-        const std::string after =
-            query == std::string::npos
-                ? std::string()
-                : percent_decoded(request.target.substr(query + 6));
+        const std::string after = query_value(request.target, "after");
         if (after.empty())
             ++lists_[kind];
         json items = json::array();
--- a/test/router/odd_names_test.cpp
+++ b/test/router/odd_names_test.cpp
@@ -39,6 +39,22 @@
     EXPECT_EQ(count_served("plans"), 40);
 }
 
+// Guards against a start that never ends because the call for the next page of
+// a list names another object than the last one of the page before.
+TEST_F(odd_names_test, StartsBesideNamesWithReservedCharacters)
+{
+    store_.set_pages(1);
+    const json names_no_server = {{"Service", "reads"}, {"State", "resting"}};
+    for (const std::string name : {"copy of i", "i&j", "i+j", "i#j", "i%j",
+             "i%2Bj", "i=j", "i?j", "i/j", "i;j", "i-reads&after=a", "i-reads+",
+             "i-reads%", "z&z", "z+z", "z#z", "z%z", "z z"})
+        store_.put("servers", name, names_no_server);
+    start();
+    EXPECT_TRUE(call_until_served("reads"));
+    EXPECT_EQ(count_served("reads"), 40);
+    EXPECT_EQ(count_served("plans"), 40);
+}
+
 // The same for an evacuation that no failure domain can have.
 TEST_F(odd_names_test, ServesBesideAnEvacuationWithAnOddName)
 {
