Delay the call after a page of a list that is repeated

Besides, an instance that got the same page again asked for the next one at once, without end: all instances share the calls of the store (2,000 reads a second on the small deployments), so that the others are refused too.

Cause: a page was followed by the next call whatever it held, and each readable reply ended the delays of the one before it, a malformed one too.

Change: a page that ends where the one before it ended counts as a failed call, which is logged and repeated after the usual delay. A reply ends the delays only once it could be read.

Ruled out: comparing the names of the pages. The order of a store's names need not be that of their bytes, and a false alarm would keep a process from its start.

--- a/src/router/store_watch.cpp
+++ b/src/router/store_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "router/store_session.hpp"
 
+#include <filberthub/base/json_text.hpp>
 #include <filberthub/telemetry/callback_guard.hpp>
 #include <filberthub/telemetry/log.hpp>
 #include <filberthub/telemetry/rejected_input.hpp>
@@ -208,15 +209,21 @@
     update.kind = kind_;
     update.sent_at = sent_at_;
     update.after_outage = failures_ > 0;
+    platform_api::store_page page =
+        listing ? platform_api::decode_list(kind_, body, epochs_.current())
+                : platform_api::decode_events(kind_, body, epochs_.current());
+    // Followed without a delay, such pages would use up the calls of the fleet.
+    if (page.next && *page.next == list_cursor_) {
+        throw error(error_kind::store_unavailable,
+            "the page behind \"" + shorten(list_cursor_) +
+                "\" ends with the same object");
+    }
     if (failures_ > 0) {
         log_event(log_level::info, "watch of the store recovered",
             {{"kind", platform_api::kind_name(kind_)},
                 {"failures", failures_}});
         failures_ = 0;
     }
-    platform_api::store_page page =
-        listing ? platform_api::decode_list(kind_, body, epochs_.current())
-                : platform_api::decode_events(kind_, body, epochs_.current());
     if (page.unreadable_objects > 0)
         count_rejected(rejected_input::object_name, page.unreadable_objects);
     if (page.unreadable_objects > 0 && !unreadable_logged_) {
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -64,6 +64,13 @@
         return found == lists_.end() ? 0 : found->second;
     }
 
+    // Number of calls that read a page of a list of a kind.
+    std::size_t pages(const std::string& kind) const
+    {
+        const auto found = pages_.find(kind);
+        return found == pages_.end() ? 0 : found->second;
+    }
+
     // Number of calls that watched a kind.
     std::size_t watches(const std::string& kind) const
     {
@@ -114,6 +121,12 @@
         after_page_ = std::move(after_page);
     }
 
+    // Whether each call of a list gets the first page.
+    void set_repeating(bool repeating)
+    {
+        repeating_ = repeating;
+    }
+
     // Whether calls get no answer. Watches that are open are answered.
     void set_silent(bool silent)
     {
@@ -278,7 +291,9 @@
                                   : make_response(200, found->second));
             return;
         }
-        const std::string after = query_value(request.target, "after");
+        const std::string after =
+            repeating_ ? "" : query_value(request.target, "after");
+        ++pages_[kind];
         if (after.empty())
             ++lists_[kind];
         json items = json::array();
@@ -309,7 +324,9 @@
     std::string epoch_;
     std::size_t page_size_ = 1'000;
     std::function<void()> after_page_;
+    bool repeating_ = false;
     std::map<std::string, std::size_t> lists_;
+    std::map<std::string, std::size_t> pages_;
     std::map<std::string, std::size_t> watch_calls_;
 };
 
--- a/test/router/store_session_test.cpp
+++ b/test/router/store_session_test.cpp
@@ -56,5 +56,33 @@
     EXPECT_EQ(session.complete_until(present), sent);
 }
 
+// Guards against a list that asks for the same page again and again without a
+// delay, which uses up the calls that all instances have.
+TEST(StoreSession, DelaysTheCallAfterAPageThatIsRepeated)
+{
+    test::fake_store store;
+    metric_registry metrics;
+    std::size_t servers = 0;
+    store_session session(
+        store.address(), metrics,
+        [&](const watch_update& update) {
+            if (update.kind == platform_api::object_kind::server)
+                servers = update.objects.size();
+        },
+        [] { return std::chrono::steady_clock::now(); });
+    store.set_pages(1);
+    store.put("servers", "i-1", json::object());
+    store.put("servers", "i-2", json::object());
+    store.set_repeating(true);
+    session.watch_deployment({});
+    ASSERT_TRUE(run_until([&] { return store.pages("servers") >= 2; }));
+    run_until([] { return false; }, milliseconds(500));
+    EXPECT_LT(store.pages("servers"), 10U);
+    EXPECT_EQ(servers, 0U);
+    // The list goes on as soon as the store answers as it should.
+    store.set_repeating(false);
+    EXPECT_TRUE(run_until([&] { return servers >= 2; }));
+}
+
 } // namespace
 } // namespace filberthub
