--- a/test/platform_adapter/list_pages_test.cpp
+++ b/test/platform_adapter/list_pages_test.cpp
@@ -52,5 +52,20 @@
     EXPECT_LT(long_page.next->size(), 300U);
 }
 
+// Guards against the removal of all servers on the next pages.
+TEST(list_pages_test, RefusesAPageThatGoesOnNowhere)
+{
+    EXPECT_THROW(decode_list(object_kind::server, page_with("")), error);
+    EXPECT_THROW(decode_list(object_kind::server, page_with("{}")), error);
+    for (const char* more : {"1", R"("true")", "{}"}) {
+        EXPECT_THROW(
+            decode_list(object_kind::server,
+                R"({"items":[)" + object_named(R"("i-1")") + R"(],"HasMore":)" +
+                    more + R"(,"StoreRevision":9})"),
+            error)
+            << more;
+    }
+}
+
 } // namespace
 } // namespace filberthub::platform_api
