Leave an odd entry out of the platform's instance list, not the whole list

What callers saw: none has reported it. One entry of the instance list that cannot be read (a missing field, an id that is no name, bytes that are no text, deep nesting, a port out of range) made filberthub serve drop the whole list. A process that starts then learns of no other instance.

Cause: the list was parsed as one document, and the first odd entry ended it, without a line in the log.

Change: the list is cut into its entries by structure, and each is decoded alone. Odd ones are left out, counted in filberthub_rejected_instance_entries and logged in one line for each list. A reply that is no array is still no list, and is logged.

--- a/include/filberthub/platform/store_client.hpp
+++ b/include/filberthub/platform/store_client.hpp
@@ -82,7 +82,8 @@
     void watch(const std::string& name, object_version after, milliseconds wait,
         store_callback callback);
 
-    // Reads the platform's instance list.
+    // Reads the platform's instance list. An entry that cannot be read is left
+    // out.
     void list_instances(list_callback callback);
 
     // Adds or renews the entry of this process in the instance list. Only the
@@ -95,6 +96,10 @@
         return call_count_;
     }
 
+    // Number of entries of the instance list that could not be read, of all
+    // clients of this process.
+    static std::uint64_t rejected_instance_entries();
+
 private:
     void call(http_request request, milliseconds timeout,
         std::function<void(http_result, time_point)> done);
--- a/include/filberthub/telemetry/rejected_input.hpp
+++ b/include/filberthub/telemetry/rejected_input.hpp
@@ -31,9 +31,11 @@
     // The handover in a server's answer to a release.
     handover,
     // A message of another instance, or a name in one.
-    peer_message
+    peer_message,
+    // An entry of the platform's instance list.
+    instance_entry
 };
-inline constexpr std::size_t rejected_input_count = 7;
+inline constexpr std::size_t rejected_input_count = 8;
 
 // Returns the name for metrics, such as "server_entry".
 std::string_view to_string(rejected_input kind);
--- a/src/node/operator_service.cpp
+++ b/src/node/operator_service.cpp
@@ -120,6 +120,8 @@
     add_metric(text, "filberthub_store_calls", view_.store->calls());
     add_metric(text, "filberthub_servers_held",
         view_.holders()->held_servers().size());
+    add_metric(text, "filberthub_rejected_instance_entries",
+        store_client::rejected_instance_entries());
     return text;
 }
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -1,5 +1,8 @@
 #include <filberthub/base/json_reader.hpp>
+#include <filberthub/base/json_text.hpp>
 #include <filberthub/platform/store_client.hpp>
+#include <filberthub/telemetry/log.hpp>
+#include <filberthub/telemetry/rejected_input.hpp>
 
 #include <charconv>
 
@@ -74,14 +77,34 @@
         {"state", process.leaving ? "leaving" : "live"}};
 }
 
+// Decodes the instance list. An entry that cannot be read is left out. Throws
+// `error` if the text is not an array.
 std::vector<listed_process> processes_from_text(const std::string& text)
 {
-    const json document =
-        json{{"instances", parse_json(text, error_kind::store_unavailable)}};
+    const auto entries = json_elements(text);
+    if (!entries) {
+        throw error(error_kind::store_unavailable,
+            "the instance list is not an array: " + shorten(text));
+    }
     std::vector<listed_process> processes;
-    json_reader reader(document, error_kind::store_unavailable);
-    for (const json_reader& item : reader.objects("instances"))
-        processes.push_back(process_from_json(item));
+    std::size_t rejected = 0;
+    std::string first_failure;
+    for (const std::string_view entry : *entries) {
+        try {
+            const json document =
+                parse_json(entry, error_kind::store_unavailable);
+            processes.push_back(process_from_json(
+                json_reader(document, error_kind::store_unavailable)));
+        } catch (const error& failure) {
+            if (rejected++ == 0)
+                first_failure = shorten(failure.what());
+        }
+    }
+    if (rejected > 0) {
+        count_rejected(rejected_input::instance_entry, rejected);
+        log_event(log_level::warn, "entries of instances cannot be read",
+            {{"entries", rejected}, {log_key::error, first_failure}});
+    }
     return processes;
 }
 
@@ -146,12 +169,19 @@
             }
             try {
                 callback(true, processes_from_text(result.response->body));
-            } catch (const error&) {
+            } catch (const error& failure) {
+                log_event(log_level::warn, "instance list cannot be read",
+                    {{log_key::error, failure.what()}});
                 callback(false, {});
             }
         });
 }
 
+std::uint64_t store_client::rejected_instance_entries()
+{
+    return rejected_count(rejected_input::instance_entry);
+}
+
 void store_client::announce(
     const listed_process& process, store_callback callback)
 {
--- a/src/telemetry/rejected_input.cpp
+++ b/src/telemetry/rejected_input.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::array<std::string_view, rejected_input_count> kind_names = {
     "configuration", "object_name", "server_entry", "ownership_table",
-    "published_object", "handover", "peer_message"};
+    "published_object", "handover", "peer_message", "instance_entry"};
 
 std::array<std::atomic<std::uint64_t>, rejected_input_count> counts{};
 
