--- a/include/filberthub/base/name_text.hpp
+++ b/include/filberthub/base/name_text.hpp
@@ -20,6 +20,10 @@
 bool is_name_text(
     std::string_view text, std::size_t max_bytes = max_name_bytes);
 
+// Whether the text is a name whose characters stand for themselves in a query:
+// letters, digits and "-._~:@/" (RFC 3986, 3.4, without `sub-delims` and "?").
+bool is_plain_name(std::string_view text);
+
 // Throws `error` of kind `bad_request` if the text is neither empty nor a name.
 // The message does not contain the text.
 void check_name_text(std::string_view text, std::size_t max_bytes);
--- a/src/base/name_text.cpp
+++ b/src/base/name_text.cpp
@@ -11,6 +11,15 @@
     return character >= ' ' && character <= '~';
 }
 
+bool is_plain(char character)
+{
+    constexpr std::string_view marks = "-._~:@/";
+    return (character >= 'a' && character <= 'z') ||
+           (character >= 'A' && character <= 'Z') ||
+           (character >= '0' && character <= '9') ||
+           marks.find(character) != std::string_view::npos;
+}
+
 } // namespace
 
 bool is_name_text(std::string_view text, std::size_t max_bytes)
@@ -20,6 +29,12 @@
            std::all_of(text.begin(), text.end(), is_printable);
 }
 
+bool is_plain_name(std::string_view text)
+{
+    return is_name_text(text) &&
+           std::all_of(text.begin(), text.end(), is_plain);
+}
+
 void check_name_text(std::string_view text, std::size_t max_bytes)
 {
     if (text.empty() || is_name_text(text, max_bytes))
--- a/test/base/strong_test.cpp
+++ b/test/base/strong_test.cpp
@@ -24,6 +24,17 @@
     }
 }
 
+// Guards against an entry whose name a target cannot carry as it is.
+TEST(IsPlainName, AllowsCharactersThatNeedNoEncodingInAQuery)
+{
+    for (const char* text : {"i-7f3a91c2", "AZaz09", "-._~:@/"})
+        EXPECT_TRUE(is_plain_name(text)) << text;
+    for (const char* text : {"", "a b", "a&b", "a+b", "a#b", "a%b", "a=b",
+             "a?b", "a;b", "a\"b", "a\n", "\xc3\xa5"})
+        EXPECT_FALSE(is_plain_name(text)) << text;
+    EXPECT_FALSE(is_plain_name(std::string(257, 'a')));
+}
+
 // An empty name stands for no entity, so that it is never the name of one.
 TEST(StrongName, IsNotMadeFromEmptyText)
 {
--- a/test/platform_adapter/list_pages_test.cpp
+++ b/test/platform_adapter/list_pages_test.cpp
@@ -52,6 +52,36 @@
     EXPECT_LT(long_page.next->size(), 300U);
 }
 
+// Guards against an entry of another writer that is used as a server.
+TEST(list_pages_test, LeavesOutServersWithReservedCharactersInTheirNames)
+{
+    for (const std::string name : {"copy of i-1", "i&1", "i+1", "i#1", "i%1",
+             "i%201", "i?1", "i=1", "i;1", "i,1"}) {
+        const std::string object = object_named('"' + name + '"');
+        // A page of nothing else is not an error, which would end the list.
+        const store_page page =
+            decode_list(object_kind::server, page_with(object));
+        EXPECT_TRUE(page.objects.empty()) << name;
+        EXPECT_EQ(page.unreadable_objects, 1U) << name;
+        EXPECT_EQ(page.next, name);
+        const store_page events = decode_events(object_kind::server,
+            R"({"events":[{"Object":)" + object + R"(}],"StoreRevision":9})");
+        EXPECT_TRUE(events.objects.empty()) << name;
+        // A failure domain may have it.
+        EXPECT_EQ(decode_list(object_kind::evacuation, page_with(object))
+                      .objects.size(),
+            1U)
+            << name;
+    }
+    for (const std::string name : {"i-7f3a91c2", "a.b_c~d", "host:80/1@x"}) {
+        EXPECT_EQ(decode_list(object_kind::server,
+                      page_with(object_named('"' + name + '"')))
+                      .objects.size(),
+            1U)
+            << name;
+    }
+}
+
 // Guards against the removal of all servers on the next pages.
 TEST(list_pages_test, RefusesAPageThatGoesOnNowhere)
 {
--- a/test/router/odd_names_test.cpp
+++ b/test/router/odd_names_test.cpp
@@ -55,6 +55,25 @@
     EXPECT_EQ(count_served("plans"), 40);
 }
 
+// Guards against requests for a server that does not exist: another writer has
+// copied the entry of a server under a name of its own.
+TEST_F(odd_names_test, SendsNothingToCopiesWithReservedCharactersInTheirNames)
+{
+    std::size_t arrived = 0;
+    test::raw_server copied([&](QTcpSocket& socket,
+                                const http_request& request) {
+        ++arrived;
+        test::raw_server::write(socket, test::raw_server::answer(request, 421));
+    });
+    for (const std::string name :
+        {"copy of i", "i&j", "i+j", "i#j", "i%j", "i%2Bj", "i=j", "i?j"})
+        store_.put("servers", name, entry("reads", copied.address(), 3));
+    start();
+    EXPECT_TRUE(call_until_served("reads"));
+    EXPECT_EQ(count_served("reads"), 40);
+    EXPECT_EQ(arrived, 0U);
+}
+
 // The same for an evacuation that no failure domain can have.
 TEST_F(odd_names_test, ServesBesideAnEvacuationWithAnOddName)
 {
