Let the soak leave whole copies of entries under odd names

An entry of another writer may hold all fields. The fault routers_start_beside_odd_names now leaves two of 1 MB, 520 incomplete ones or 520 copies of the entry of a server. The character / is no longer among those of the names, because the id of a server may have it.

--- a/scripts/soak/faults.py
+++ b/scripts/soak/faults.py
@@ -322,7 +322,7 @@
 
 
 # Characters with a meaning in a target, which a name may have too (RFC 3986, 2.2).
-RESERVED_CHARACTERS = " &+#%=?/;"
+RESERVED_CHARACTERS = " &+#%=?;"
 
 
 def odd_entry(run):
@@ -352,14 +352,17 @@
     servers has several pages, and starts all routers again. The entries stay
     until the end of the run, so that callers have to be served beside them.
 
-    Their names have characters that a call for the next page has to encode.
+    Their names have characters that a call for the next page has to encode. Some
+    are whole copies of the entry of a server.
     """
     prefix = run.random.choice(["copy of i", "i-kartl", "i-raddning-1", "z"])
-    size = run.random.choice([0, 1_040_000])
-    for number in range(2 if size else 520):
-        name = f"{prefix}{run.random.choice(RESERVED_CHARACTERS)}{number}"
-        run.store.put("servers", name, "?" * size if size else {
-            "Service": "kartlas", "State": "resting"})
+    kind = run.random.choice(["large", "incomplete", "copies"])
+    content = {"large": "?" * 1_040_000,
+               "incomplete": {"Service": "kartlas", "State": "resting"},
+               "copies": run.random.choice(run.servers).entry()}[kind]
+    for number in range(2 if kind == "large" else 520):
+        character = run.random.choice(RESERVED_CHARACTERS)
+        run.store.put("servers", f"{prefix}{character}{number}", content)
     routers = active_routers(run) or run.routers
     with record_disturbance(run, "routers"):
         for router in routers:
