Log odd entries of the instance list only when their number changes

serve reads the list again and again, so that one odd entry that stays would be logged each time. The callback of a list is also called outside the try block, because an error that it throws was answered with a second call.

--- a/include/filberthub/platform/store_client.hpp
+++ b/include/filberthub/platform/store_client.hpp
@@ -103,12 +103,16 @@
 private:
     void call(http_request request, milliseconds timeout,
         std::function<void(http_result, time_point)> done);
+    void note_rejected_entries(
+        std::size_t entries, const std::string& first_failure);
 
     http_client client_;
     // Watches use connections of their own, because a waiting watch would delay
     // other calls on a shared connection.
     http_client watch_client_;
     std::uint64_t call_count_ = 0;
+    // Number of entries of the last instance list that could not be read.
+    std::size_t rejected_entries_ = 0;
 };
 
 } // namespace filberthub
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -5,6 +5,7 @@
 #include <filberthub/telemetry/rejected_input.hpp>
 
 #include <charconv>
+#include <utility>
 
 namespace filberthub {
 namespace {
@@ -77,35 +78,36 @@
         {"state", process.leaving ? "leaving" : "live"}};
 }
 
-// Decodes the instance list. An entry that cannot be read is left out. Throws
-// `error` if the text is not an array.
-std::vector<listed_process> processes_from_text(const std::string& text)
+struct decoded_list
+{
+    std::vector<listed_process> processes;
+    // Number of entries that could not be read, which are left out, and why the
+    // first of them could not.
+    std::size_t rejected = 0;
+    std::string first_failure;
+};
+
+// Throws `error` if the text is not an array.
+decoded_list list_from_text(const std::string& text)
 {
     const auto entries = json_elements(text);
     if (!entries) {
         throw error(error_kind::store_unavailable,
             "the instance list is not an array: " + shorten(text));
     }
-    std::vector<listed_process> processes;
-    std::size_t rejected = 0;
-    std::string first_failure;
+    decoded_list list;
     for (const std::string_view entry : *entries) {
         try {
             const json document =
                 parse_json(entry, error_kind::store_unavailable);
-            processes.push_back(process_from_json(
+            list.processes.push_back(process_from_json(
                 json_reader(document, error_kind::store_unavailable)));
         } catch (const error& failure) {
-            if (rejected++ == 0)
-                first_failure = shorten(failure.what());
+            if (list.rejected++ == 0)
+                list.first_failure = shorten(failure.what());
         }
     }
-    if (rejected > 0) {
-        count_rejected(rejected_input::instance_entry, rejected);
-        log_event(log_level::warn, "entries of instances cannot be read",
-            {{"entries", rejected}, {log_key::error, first_failure}});
-    }
-    return processes;
+    return list;
 }
 
 } // namespace
@@ -161,22 +163,38 @@
     http_request request;
     request.target = "/v1/instances";
     call(std::move(request), call_timeout,
-        [callback = std::move(callback)](
+        [this, callback = std::move(callback)](
             const http_result& result, time_point) {
             if (!result.response || result.response->status != 200) {
                 callback(false, {});
                 return;
             }
+            decoded_list list;
             try {
-                callback(true, processes_from_text(result.response->body));
+                list = list_from_text(result.response->body);
             } catch (const error& failure) {
                 log_event(log_level::warn, "instance list cannot be read",
                     {{log_key::error, failure.what()}});
                 callback(false, {});
+                return;
             }
+            note_rejected_entries(list.rejected, list.first_failure);
+            callback(true, std::move(list.processes));
         });
 }
 
+// The list is read again and again, so that only a change is logged.
+void store_client::note_rejected_entries(
+    std::size_t entries, const std::string& first_failure)
+{
+    count_rejected(rejected_input::instance_entry, entries);
+    const std::size_t before = std::exchange(rejected_entries_, entries);
+    if (entries == 0 || entries == before)
+        return;
+    log_event(log_level::warn, "entries of instances cannot be read",
+        {{"entries", entries}, {log_key::error, first_failure}});
+}
+
 std::uint64_t store_client::rejected_instance_entries()
 {
     return rejected_count(rejected_input::instance_entry);
