--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
