Log and count servers that get no keys because they do not answer

No log line and no metric told so, so that a service whose sound servers hold nothing looked like one without servers.

The coordinator now logs when a server gets no keys for this reason and when it may get some again, and counts such servers in `filberthub_silent_servers{service}`.

--- a/src/router/fleet_progress.cpp
+++ b/src/router/fleet_progress.cpp
@@ -30,6 +30,12 @@
                 "coordinator only.",
                 {{"service", id.value()}})
             .set(static_cast<double>(progress.heavy_keys));
+        metrics_
+            .add_gauge("filberthub_silent_servers",
+                "Usable servers that get no keys, because they leave commands "
+                "without an answer; of the coordinator only.",
+                {{"service", id.value()}})
+            .set(static_cast<double>(progress.silent_servers));
         if (keys.complete())
             continue;
         log_event(log_level::info, "keys without an owner",
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -134,6 +134,42 @@
     }
 }
 
+bool ownership_controller::is_silent(
+    const service_ownership& service, const server_incarnation& server) const
+{
+    return lost_incarnations_.contains(server) ||
+           service.keys.granter().unanswered(server) >=
+               unanswered_command_limit;
+}
+
+void ownership_controller::note_silent_servers(
+    const service_id& id, service_ownership& service)
+{
+    const server_pool& pool = view_.servers();
+    std::set<server_incarnation> silent;
+    for (const observed_server* server : pool.of_service(id)) {
+        const server_incarnation candidate{
+            server->entry.id, server->entry.started};
+        if (pool.usable(*server) && is_silent(service, candidate))
+            silent.insert(candidate);
+    }
+    const auto log_change = [&](const char* event, const auto& server) {
+        log_event(log_level::info, event,
+            {{log_key::server, server.id.value()},
+                {log_key::service, id.value()},
+                {"unanswered", service.keys.granter().unanswered(server)}});
+    };
+    for (const server_incarnation& server : silent) {
+        if (!service.silent_servers.contains(server))
+            log_change("server answers no commands; it gets no keys", server);
+    }
+    for (const server_incarnation& server : service.silent_servers) {
+        if (!silent.contains(server))
+            log_change("server may get keys again", server);
+    }
+    service.silent_servers = std::move(silent);
+}
+
 std::vector<key_server> ownership_controller::key_servers(
     const service_id& id, service_ownership& service, time_point now)
 {
@@ -142,10 +178,7 @@
     for (const observed_server* server : pool.of_service(id)) {
         key_server candidate;
         candidate.incarnation = {server->entry.id, server->entry.started};
-        if (!pool.usable(*server) ||
-            lost_incarnations_.contains(candidate.incarnation) ||
-            service.keys.granter().unanswered(candidate.incarnation) >=
-                unanswered_command_limit)
+        if (!pool.usable(*server) || is_silent(service, candidate.incarnation))
             continue;
         candidate.capacity = server->entry.slots;
         // The gate enforces the limit of a cold server, which can do only a
@@ -172,6 +205,7 @@
             read_back(id);
         return;
     }
+    note_silent_servers(id, service);
     const std::vector<key_server> servers = key_servers(id, service, now);
     const auto next = service.keys.plan(servers, now);
     report_heavy_keys(id, service, servers, now);
@@ -190,6 +224,7 @@
             now - service.committed_at);
         state.write_open = service.keys.write_open();
         state.heavy_keys = service.heavy_keys.size();
+        state.silent_servers = service.silent_servers.size();
         result.emplace(id, state);
     }
     return result;
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -72,6 +72,9 @@
         bool write_open = false;
         // Number of keys that no server can serve alone.
         std::size_t heavy_keys = 0;
+        // Number of usable servers that get no keys, because they leave
+        // commands without an answer.
+        std::size_t silent_servers = 0;
     };
     std::map<service_id, progress> grant_progress(time_point now) const;
 
@@ -94,6 +97,9 @@
         // Keys that no server can serve alone.
         std::vector<key_number> heavy_keys;
         time_point next_heavy_key_check;
+        // Usable servers that got no keys in the last plan, because they leave
+        // commands without an answer.
+        std::set<server_incarnation> silent_servers;
     };
 
     void read_tables();
@@ -105,6 +111,12 @@
         const std::vector<key_server>& servers, time_point now);
     std::vector<key_server> key_servers(
         const service_id& id, service_ownership& service, time_point now);
+    // Whether the server leaves commands without an answer, so that it gets no
+    // keys.
+    bool is_silent(const service_ownership& service,
+        const server_incarnation& server) const;
+    // Updates the silent servers of the service, and logs each change.
+    void note_silent_servers(const service_id& id, service_ownership& service);
     void write(const service_id& id, const table_write& table);
     void on_write_reply(const service_id& id,
         platform_api::store_outcome outcome, const std::string& body);
