Probe silent servers, so that they get keys again

Cause: a server that leaves three commands in a row without an answer gets no keys, and only an answer ended that. Once its keys had moved and its grants had ended, no command was sent to it. The set of servers at whose address another one was found had no end at all.

Evidence: the coordinator's log of the case has 3 to 7 `grant not accepted` for each server that was cut off and nothing about it afterwards, while its entry stayed in the store. Neither the view nor the connections were the cause.

Change: both states are one, `key_granter::silent`. The coordinator sends a silent server that is usable a release of one key that it does not hold, after a delay that doubles from 250 ms to 2 s, and gives it keys after an answer. Giving keys on trial was ruled out: if the server is still cut off, they have no owner for 3.2 s each time.

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -14,6 +14,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 
 namespace filberthub {
 
@@ -25,6 +26,9 @@
     command_number number;
     // Whether the server must release the keys; otherwise they are granted.
     bool release = false;
+    // Whether the command only finds out if the server answers. It releases a
+    // key that the server does not hold.
+    bool probe = false;
     server_incarnation server;
     key_number first = 0;
     key_number last = 0;
@@ -64,6 +68,15 @@
     milliseconds max_delivery_time{150};
     // Delay after a command that was not answered.
     milliseconds retry{250};
+    // A server that has left this number of consecutive commands without an
+    // answer counts as silent.
+    unsigned silence_limit = 3;
+    // Upper bound of the delay between two probes of a silent server, which
+    // doubles from `retry` on. A server that answers again waits this long for
+    // keys at most.
+    milliseconds max_probe_delay{2'000};
+    // A server that was sent nothing for this time is no longer silent.
+    milliseconds silence_memory{60'000};
 
     // Longest time for which a grant may be valid after it was sent.
     duration max_grant_duration() const;
@@ -115,8 +128,8 @@
     void adopt(const key_table& table, time_point now);
     // To be called when a server is known to have ended and none of its
     // commands can have reached another incarnation. It no longer holds any
-    // keys.
-    void on_incarnation_ended(const server_incarnation& server);
+    // keys, and counts as silent.
+    void on_incarnation_ended(const server_incarnation& server, time_point now);
 
     // To be called when a later incarnation of a server is known. Commands name
     // a server by its id only, so those sent to `earlier` may have been carried
@@ -131,6 +144,14 @@
     // whether the server owns keys.
     bool on_connection_lost(const backend_server_id& server);
 
+    // Returns a command that finds out whether a silent server answers again,
+    // or nothing if none is due. Servers that `due` has commands for need none.
+    // To be called regularly for each silent server that could own keys,
+    // because no other command is sent to it. `on_reply` has to be called for
+    // it.
+    std::optional<grant_command> probe(
+        const server_incarnation& server, time_point now);
+
     // Returns commands to send now, about `limit` at most. The next call goes
     // on with the ranges after them. `on_reply` has to be called once for each.
     std::vector<grant_command> due(time_point now,
@@ -157,6 +178,12 @@
     // Number of times at which commands to this server were not answered, since
     // its last answer. Several ranges at about the same time count once.
     unsigned unanswered(const server_incarnation& server) const;
+    // Whether the server should get no keys, because it does not answer. Ends
+    // with its next answer to a command or a probe.
+    bool silent(const server_incarnation& server) const
+    {
+        return unanswered(server) >= options_.silence_limit;
+    }
 
 private:
     // A server that may still hold keys of a range.
@@ -205,12 +232,19 @@
     {
         unsigned times = 0;
         time_point counted_at;
+        // A range that the last command named.
+        key_number first = 0;
+        fencing_token token;
+        command_number probe_in_flight;
+        milliseconds probe_delay{0};
+        time_point next_probe;
     };
 
     struct open_command
     {
         bool release = false;
         server_incarnation server;
+        key_number first = 0;
         fencing_token token;
         // End of the owner's grant before this command.
         time_point granted_until_before;
@@ -224,7 +258,10 @@
         std::vector<grant_command>& commands);
     void add_grant_command(range_state& state, time_point now,
         std::vector<grant_command>& commands);
-    void count_silence(const server_incarnation& server, time_point now);
+    // Counts a command that was not answered.
+    void count_silence(const open_command& command, time_point now);
+    // Whether the server owns keys of the table or may still hold some.
+    bool involved(const server_incarnation& server) const;
     void on_grant_reply(range_state& state, const open_command& command,
         grant_reply reply, time_point now);
 
--- a/src/router/ownership_commands.cpp
+++ b/src/router/ownership_commands.cpp
@@ -21,6 +21,9 @@
 // Each command costs a connection or a write. The commands for all ranges after
 // a takeover would keep the coordinator from answering other instances.
 constexpr std::size_t max_commands_per_turn = 32;
+// Each probe costs a connection. The turns are at most 100 ms apart, so that
+// hundreds of silent servers are asked within seconds.
+constexpr std::size_t max_probes_per_turn = 8;
 
 // A pause of this length between the ticks of the coordinator means that its
 // event loop was delayed: time-outs are over before answers are read.
@@ -84,26 +87,45 @@
 std::size_t ownership_controller::send_commands(
     const service_id& id, service_ownership& service, time_point now)
 {
+    send_probes(id, service, now);
     const auto commands =
         service.keys.granter().due(now, max_commands_per_turn);
-    for (const grant_command& command : commands) {
-        const auto give_up = [&] {
-            service.keys.granter().on_reply(
-                command.number, grant_reply::unclear, {}, now);
-        };
-        // A server that is no longer registered may still run. Its address is
-        // known while it has a client.
-        if (view_.incarnation_of(command.server.id) ||
-            clients_.contains(command.server.id))
-            guard_callback(
-                "command to a server", [&] { send_command(id, command); },
-                give_up);
-        else
-            give_up();
-    }
+    for (const grant_command& command : commands)
+        try_send(id, service, command, now);
     return commands.size();
 }
 
+void ownership_controller::send_probes(
+    const service_id& id, service_ownership& service, time_point now)
+{
+    std::size_t sent = 0;
+    for (const server_incarnation& server : service.silent_servers) {
+        const auto command = service.keys.granter().probe(server, now);
+        if (!command)
+            continue;
+        try_send(id, service, *command, now);
+        if (++sent >= max_probes_per_turn)
+            return;
+    }
+}
+
+void ownership_controller::try_send(const service_id& id,
+    service_ownership& service, const grant_command& command, time_point now)
+{
+    const auto give_up = [&] {
+        service.keys.granter().on_reply(
+            command.number, grant_reply::unclear, {}, now);
+    };
+    // A server that is no longer registered may still run. Its address is known
+    // while it has a client.
+    if (view_.incarnation_of(command.server.id) ||
+        clients_.contains(command.server.id))
+        guard_callback(
+            "command to a server", [&] { send_command(id, command); }, give_up);
+    else
+        give_up();
+}
+
 http_client& ownership_controller::client_of(const backend_server_id& id)
 {
     const observed_server* server = view_.servers().find(id);
@@ -156,7 +178,8 @@
     request.headers.set(
         platform_api::header::expected_server, command.server.id.value());
     client.send(
-        std::move(request), command.release ? release_timeout : grant_timeout,
+        std::move(request),
+        command.release && !command.probe ? release_timeout : grant_timeout,
         [this, alive = alive_, id, command](http_result result) {
             if (!*alive)
                 return;
@@ -173,7 +196,8 @@
             } else if (result.response && result.response->status == 409) {
                 reply = grant_reply::outdated;
             }
-            if (reply != grant_reply::accepted || command.release) {
+            if (!command.probe &&
+                (reply != grant_reply::accepted || command.release)) {
                 log_event(log_level::info,
                     command.release ? "keys released" : "grant not accepted",
                     {{log_key::server, command.server.id.value()},
@@ -192,8 +216,8 @@
                 answered_by_another(*result.response, command.server.id)) {
                 // Two processes cannot share an address, so the expected server
                 // has ended.
-                service.keys.granter().on_incarnation_ended(command.server);
-                lost_incarnations_.insert(command.server);
+                service.keys.granter().on_incarnation_ended(
+                    command.server, now);
             }
             service.keys.granter().on_reply(
                 command.number, reply, handover, now);
--- a/src/router/ownership_controller.cpp
+++ b/src/router/ownership_controller.cpp
@@ -11,9 +11,6 @@
 // A longer interval delays the detection of hot keys. The coordinators of the
 // services plan anew less often while there are none.
 constexpr milliseconds plan_interval{100};
-// After this number of consecutive commands without an answer, the keys of a
-// server move to other servers.
-constexpr unsigned unanswered_command_limit = 3;
 // Bounds of the slowdown that is assumed for a server whose work takes much
 // shorter or longer than the mean.
 constexpr double min_slowdown = 0.25;
@@ -134,14 +131,6 @@
     }
 }
 
-bool ownership_controller::is_silent(
-    const service_ownership& service, const server_incarnation& server) const
-{
-    return lost_incarnations_.contains(server) ||
-           service.keys.granter().unanswered(server) >=
-               unanswered_command_limit;
-}
-
 void ownership_controller::note_silent_servers(
     const service_id& id, service_ownership& service)
 {
@@ -150,7 +139,7 @@
     for (const observed_server* server : pool.of_service(id)) {
         const server_incarnation candidate{
             server->entry.id, server->entry.started};
-        if (pool.usable(*server) && is_silent(service, candidate))
+        if (pool.usable(*server) && service.keys.granter().silent(candidate))
             silent.insert(candidate);
     }
     const auto log_change = [&](const char* event, const auto& server) {
@@ -178,7 +167,8 @@
     for (const observed_server* server : pool.of_service(id)) {
         key_server candidate;
         candidate.incarnation = {server->entry.id, server->entry.started};
-        if (!pool.usable(*server) || is_silent(service, candidate.incarnation))
+        if (!pool.usable(*server) ||
+            service.keys.granter().silent(candidate.incarnation))
             continue;
         candidate.capacity = server->entry.slots;
         // The gate enforces the limit of a cold server, which can do only a
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -111,10 +111,6 @@
         const std::vector<key_server>& servers, time_point now);
     std::vector<key_server> key_servers(
         const service_id& id, service_ownership& service, time_point now);
-    // Whether the server leaves commands without an answer, so that it gets no
-    // keys.
-    bool is_silent(const service_ownership& service,
-        const server_incarnation& server) const;
     // Updates the silent servers of the service, and logs each change.
     void note_silent_servers(const service_id& id, service_ownership& service);
     void write(const service_id& id, const table_write& table);
@@ -128,6 +124,11 @@
     // Returns the number of commands sent.
     std::size_t send_commands(
         const service_id& id, service_ownership& service, time_point now);
+    // Asks the silent servers whether they answer again.
+    void send_probes(
+        const service_id& id, service_ownership& service, time_point now);
+    void try_send(const service_id& id, service_ownership& service,
+        const grant_command& command, time_point now);
     void send_command(const service_id& id, const grant_command& command);
     void publish(
         const service_id& id, service_ownership& service, time_point now);
@@ -161,8 +162,6 @@
     std::map<backend_server_id, std::unique_ptr<http_client>> clients_;
     std::map<backend_server_id, double> slowdowns_;
     server_health health_;
-    // Incarnations whose address was found to belong to another server.
-    std::set<server_incarnation> lost_incarnations_;
     std::uint64_t publication_count_ = 0;
     std::optional<time_point> last_turn_;
     // Until then, missing answers say nothing about their servers.
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -148,7 +148,8 @@
     ++granted_version_;
 }
 
-void key_granter::on_incarnation_ended(const server_incarnation& server)
+void key_granter::on_incarnation_ended(
+    const server_incarnation& server, time_point now)
 {
     ++granted_version_;
     for (auto& [token, state] : states_) {
@@ -166,7 +167,9 @@
             state.grant_in_flight = no_command;
         }
     }
-    unanswered_.erase(server);
+    server_silence& silence = unanswered_[server];
+    silence.times = std::max(silence.times, options_.silence_limit);
+    silence.counted_at = now;
 }
 
 void key_granter::on_server_restarted(
@@ -230,10 +233,11 @@
         }
         last_command_ = last_command_.next();
         holder.release_in_flight = last_command_;
-        open_commands_.emplace(last_command_,
-            open_command{true, holder.server, holder.token, {}, now});
-        commands.push_back({last_command_, true, holder.server, holder.first,
-            holder.last, holder.token, milliseconds(0), {}});
+        open_commands_.emplace(
+            last_command_, open_command{true, holder.server, holder.first,
+                               holder.token, {}, now});
+        commands.push_back({last_command_, true, false, holder.server,
+            holder.first, holder.last, holder.token, milliseconds(0), {}});
     }
 }
 
@@ -247,12 +251,12 @@
     state.grant_in_flight = last_command_;
     state.next_send = now + options_.renewal;
     open_commands_.emplace(
-        last_command_, open_command{false, state.range.owner, state.range.token,
-                           state.granted_until, now});
+        last_command_, open_command{false, state.range.owner, state.range.first,
+                           state.range.token, state.granted_until, now});
     state.granted_until =
         std::max(state.granted_until, now + options_.max_grant_duration());
     commands.push_back(
-        {last_command_, false, state.range.owner, state.range.first,
+        {last_command_, false, false, state.range.owner, state.range.first,
             state.range.last, state.range.token, options_.grant_duration,
             state.accepted ? key_handover() : state.handover});
 }
@@ -260,6 +264,9 @@
 std::vector<grant_command> key_granter::due(time_point now, std::size_t limit)
 {
     std::vector<grant_command> commands;
+    std::erase_if(unanswered_, [&](const auto& item) {
+        return now >= item.second.counted_at + options_.silence_memory;
+    });
     auto next = states_.upper_bound(last_due_);
     for (std::size_t count = 0; count < states_.size(); ++count) {
         if (next == states_.end())
@@ -314,16 +321,53 @@
     }
 }
 
-void key_granter::count_silence(
-    const server_incarnation& server, time_point now)
+void key_granter::count_silence(const open_command& command, time_point now)
 {
-    server_silence& silence = unanswered_[server];
+    server_silence& silence = unanswered_[command.server];
+    silence.first = command.first;
+    silence.token = command.token;
     if (silence.times > 0 && now < silence.counted_at + options_.retry)
         return;
     ++silence.times;
     silence.counted_at = now;
 }
 
+bool key_granter::involved(const server_incarnation& server) const
+{
+    return std::any_of(states_.begin(), states_.end(), [&](const auto& item) {
+        const range_state& state = item.second;
+        return state.range.owner == server ||
+               std::any_of(state.earlier_holders.begin(),
+                   state.earlier_holders.end(),
+                   [&](const earlier_holder& holder) {
+                       return holder.server == server;
+                   });
+    });
+}
+
+// The token is below any that the server may get with keys later, and a release
+// takes away one key at most should it be carried out late.
+std::optional<grant_command> key_granter::probe(
+    const server_incarnation& server, time_point now)
+{
+    const auto found = unanswered_.find(server);
+    if (found == unanswered_.end() || !silent(server))
+        return std::nullopt;
+    server_silence& silence = found->second;
+    if (open_commands_.contains(silence.probe_in_flight) ||
+        now < silence.next_probe || involved(server))
+        return std::nullopt;
+    silence.probe_delay = std::clamp(
+        silence.probe_delay * 2, options_.retry, options_.max_probe_delay);
+    silence.next_probe = now + silence.probe_delay;
+    last_command_ = last_command_.next();
+    silence.probe_in_flight = last_command_;
+    open_commands_.emplace(last_command_,
+        open_command{true, server, silence.first, silence.token, {}, now});
+    return grant_command{last_command_, true, true, server, silence.first,
+        silence.first, silence.token, milliseconds(0), {}};
+}
+
 void key_granter::on_reply(command_number number, grant_reply reply,
     const key_handover& handover, time_point now)
 {
@@ -338,7 +382,7 @@
     if (answered)
         unanswered_.erase(command.server);
     else if (reply != grant_reply::delayed)
-        count_silence(command.server, now);
+        count_silence(command, now);
     for (auto& [token, state] : states_) {
         if (state.grant_in_flight == number)
             on_grant_reply(state, command, reply, now);
--- a/test/router/ownership_controller_test.cpp
+++ b/test/router/ownership_controller_test.cpp
@@ -73,15 +73,21 @@
     {
         return run_until([&] {
             controller.advance(now());
-            for (key_number key = 0; key < 65'536; key += 16) {
-                if (view_.owner_of(service_id("maps"), key) ==
-                    backend_server_id(owner))
-                    return true;
-            }
-            return false;
+            return owns_keys(owner);
         });
     }
 
+    // Whether instances take this server for the owner of a key.
+    bool owns_keys(const std::string& server) const
+    {
+        for (key_number key = 0; key < key_count; key += 16) {
+            if (view_.owner_of(service_id("maps"), key) ==
+                backend_server_id(server))
+                return true;
+        }
+        return false;
+    }
+
     route_settings settings_;
     test::fake_store store_;
     http_listener listener_;
@@ -107,6 +113,40 @@
     EXPECT_TRUE(run_until_owned(second, "i-7"));
 }
 
+// Guards against a server that gets no keys for as long as its coordinator
+// runs, because it was cut off until its last grant had ended: nothing was sent
+// to it any more that it could have answered.
+TEST_F(ownership_controller_test, GivesKeysAgainToAServerThatWasSilent)
+{
+    bool silent = false;
+    std::vector<std::shared_ptr<http_exchange>> unanswered;
+    http_listener listener(
+        {}, [&](const std::shared_ptr<http_exchange>& exchange) {
+            if (silent)
+                unanswered.push_back(exchange);
+            else
+                exchange->respond(http_response{});
+        });
+    listener.listen({"127.0.0.1", 0});
+    put_server("i-1", 1, listener.address(), 1);
+    put_server("i-2", 2);
+    ownership_controller controller = make_controller();
+    ASSERT_TRUE(run_until_owned(controller, "i-1"));
+    silent = true;
+    ASSERT_TRUE(run_until([&] {
+        controller.advance(now());
+        const auto progress = controller.grant_progress(now());
+        const auto& maps = progress.at(service_id("maps"));
+        return maps.silent_servers == 1 && maps.keys.served == key_count &&
+               !owns_keys("i-1");
+    }));
+    silent = false;
+    EXPECT_TRUE(run_until_owned(controller, "i-1"));
+    EXPECT_EQ(
+        controller.grant_progress(now()).at(service_id("maps")).silent_servers,
+        0U);
+}
+
 // A server that holds the keys that it was granted until it has to release them
 // or restarts. The test must not take longer than a grant.
 class key_holding_server
--- a/test/routing/key_granter_test.cpp
+++ b/test/routing/key_granter_test.cpp
@@ -131,6 +131,73 @@
     EXPECT_GE(rounds, 3U);
 }
 
+// Guards against a server that stays without keys because nothing is sent to it
+// that it could answer.
+TEST_F(KeyGranter, ProbesASilentServerUntilItAnswers)
+{
+    const server_incarnation server{backend_server_id("a"), 1};
+    for (std::int64_t ms = 0; !granter_.silent(server); ms += 250) {
+        EXPECT_FALSE(granter_.probe(server, at_ms(ms)));
+        for (const grant_command& command : granter_.due(at_ms(ms)))
+            granter_.on_reply(
+                command.number, grant_reply::unclear, {}, at_ms(ms));
+    }
+    // It may still hold keys, and the commands for them need an answer.
+    granter_.adopt(moved_table(), at_ms(1'000));
+    EXPECT_FALSE(granter_.probe(server, at_ms(1'000)));
+    const std::int64_t released = 5'000;
+    granter_.due(at_ms(released));
+    std::vector<std::int64_t> probed;
+    for (std::int64_t ms = released; ms < 15'000; ms += 50) {
+        const auto command = granter_.probe(server, at_ms(ms));
+        if (!command)
+            continue;
+        EXPECT_TRUE(command->release);
+        EXPECT_LT(command->token, fencing_token(2));
+        EXPECT_FALSE(granter_.probe(server, at_ms(ms)));
+        granter_.on_reply(command->number, grant_reply::unclear, {}, at_ms(ms));
+        if (!probed.empty()) {
+            EXPECT_LE(ms - probed.back(), 2'000);
+        }
+        probed.push_back(ms);
+    }
+    EXPECT_EQ(probed.at(0), released);
+    EXPECT_THAT(probed, SizeIs(8));
+    EXPECT_TRUE(granter_.silent(server));
+    const auto last = granter_.probe(server, at_ms(17'000));
+    ASSERT_TRUE(last);
+    granter_.on_reply(last->number, grant_reply::accepted, {}, at_ms(17'010));
+    EXPECT_FALSE(granter_.silent(server));
+    EXPECT_FALSE(granter_.probe(server, at_ms(20'000)));
+}
+
+// Guards against a server that gets keys although another process was found at
+// its address, and against one that never gets any because its entry had the
+// wrong address for a while.
+TEST_F(KeyGranter, ProbesAServerThatWasFoundToHaveEnded)
+{
+    const server_incarnation server{backend_server_id("a"), 1};
+    granter_.adopt(table_of({range_of(0, key_count - 1, "b", 2)}), at_ms(10));
+    granter_.on_incarnation_ended(server, at_ms(10));
+    EXPECT_TRUE(granter_.silent(server));
+    const auto probe = granter_.probe(server, at_ms(20));
+    ASSERT_TRUE(probe);
+    granter_.on_reply(probe->number, grant_reply::accepted, {}, at_ms(30));
+    EXPECT_FALSE(granter_.silent(server));
+}
+
+// Guards against records of servers that are gone, which would be kept for as
+// long as the coordinator runs.
+TEST_F(KeyGranter, ForgetsASilentServerThatIsNotProbed)
+{
+    const server_incarnation server{backend_server_id("a"), 1};
+    granter_.on_incarnation_ended(server, at_ms(0));
+    granter_.due(at_ms(59'000));
+    EXPECT_TRUE(granter_.silent(server));
+    granter_.due(at_ms(60'000));
+    EXPECT_FALSE(granter_.silent(server));
+}
+
 // Guards against servers that lose their keys because the coordinator was too
 // busy to read their answers.
 TEST_F(KeyGranter, DoesNotBlameAServerForTheDelayOfTheCoordinator)
@@ -339,7 +406,7 @@
 {
     grant_first();
     granter_.adopt(moved_table(), at_ms(10));
-    granter_.on_incarnation_ended({backend_server_id("a"), 1});
+    granter_.on_incarnation_ended({backend_server_id("a"), 1}, at_ms(10));
     EXPECT_FALSE(only_command(10).release);
 }
 
