Close a draining connection with the last response that is owed

Cause: while the listener drains, the next response closed its connection, also with requests open behind it, whose attempts were cancelled then.

Evidence: in the record of the case these requests reached their servers some 0.1 s before the response with `Connection: close`, and the process ran on for seconds. Its end and the grace were not the cause.

Change: a drain closes the connection with the response that leaves nothing open on it. No request is decoded behind an open one meanwhile, so that callers that keep requests under way get there. Reading on until the end of the process was ruled out: their last requests would be cut off then.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -73,10 +73,16 @@
     decode_requests();
 }
 
+// While the listener drains, the next response that leaves nothing open closes
+// the connection, so that no request is taken behind an open one.
+std::size_t http_connection::max_open_exchanges() const
+{
+    return listener_.draining_ ? 1 : listener_.options_.pipelined_requests;
+}
+
 bool http_connection::reading_paused() const
 {
-    return exchanges_.size() >= listener_.options_.pipelined_requests ||
-           !writer_.done() ||
+    return exchanges_.size() >= max_open_exchanges() || !writer_.done() ||
            socket_->bytesToWrite() > max_unsent_response_bytes;
 }
 
@@ -87,8 +93,7 @@
         return;
     decoding_ = true;
     try {
-        while (!closing_ &&
-               exchanges_.size() < listener_.options_.pipelined_requests) {
+        while (!closing_ && exchanges_.size() < max_open_exchanges()) {
             std::optional<http_request> request = decoder_.next();
             undecoded_ = request.has_value();
             if (!request)
@@ -237,8 +242,10 @@
         exchanges_.pop_front();
         --listener_.in_flight_;
         http_response& response = *exchange->response_;
-        response.keep_alive =
-            exchange->request_.keep_alive && !listener_.draining_;
+        // Requests behind this one may have been passed on. They need their
+        // responses on this connection.
+        response.keep_alive = exchange->request_.keep_alive &&
+                              !(listener_.draining_ && exchanges_.empty());
         last_response_ = !response.keep_alive;
         write_response(*exchange);
     }
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -56,6 +56,7 @@
     void update_buffered();
     void write_response(http_exchange& exchange);
     void on_shed();
+    std::size_t max_open_exchanges() const;
     bool reading_paused() const;
     void on_closed();
 
--- a/test/net/http_test.cpp
+++ b/test/net/http_test.cpp
@@ -200,6 +200,47 @@
     EXPECT_TRUE(run_until([&] { return listener_.connection_count() == 0; }));
 }
 
+// Guards against pipelined requests that are passed on and get no response,
+// because the response before them closes the connection during a drain.
+TEST_F(HttpListener, AnswersAllPipelinedRequestsInFlightWhenDraining)
+{
+    raw_caller caller(listener_.address());
+    caller.write(std::string(get) + get + get);
+    ASSERT_TRUE(has_requests(3));
+    listener_.begin_drain();
+    respond(2, "third");
+    respond(0, "first");
+    ASSERT_TRUE(caller.receives("first"));
+    EXPECT_EQ(caller.received().find("Connection: close"), std::string::npos);
+    respond(1, "second");
+    ASSERT_TRUE(caller.receives("third"));
+    EXPECT_LT(caller.received().find("second"),
+        caller.received().find("Connection: close"));
+    EXPECT_TRUE(run_until([&] { return listener_.connection_count() == 0; }));
+}
+
+// Guards against a caller that keeps requests under way on its connection, so
+// that no response closes it before the process ends.
+TEST_F(HttpListener, TakesNoRequestBehindAnOpenOneWhenDraining)
+{
+    raw_caller caller(listener_.address());
+    caller.write(get);
+    ASSERT_TRUE(has_requests(1));
+    respond(0, "before");
+    ASSERT_TRUE(caller.receives("before"));
+    listener_.announce_close();
+    caller.write(get);
+    ASSERT_TRUE(has_requests(2));
+    caller.write(get);
+    EXPECT_FALSE(
+        run_until([&] { return exchanges_.size() > 2; }, milliseconds(200)));
+    respond(1, "last");
+    ASSERT_TRUE(caller.receives("last"));
+    EXPECT_NE(caller.received().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(run_until([&] { return listener_.connection_count() == 0; }));
+    EXPECT_EQ(exchanges_.size(), 2U);
+}
+
 // The client and the listener must agree on the format of the messages.
 TEST_F(HttpListener, ServesTheClient)
 {
