Send no fencing token again after a grant without an answer

A server that lost power for about a second was granted its keys with the token of its earlier life.

Cause: a grant without an answer was sent again with its token after 250 ms. Only the end of a connection by the server asked for a new one, and a machine without power resets nothing.

Change: a grant without an answer makes its token outdated, also if the coordinator was late. A silent owner gets no grants and no new tokens; it is probed every 250 ms, and what it answers leads to a new token. Sending the old token on the old connection was ruled out: the connection is busy with the call that was given up.

Two tests relied on a token that is sent again and refresh the tokens as the coordinator does now; they check the same.

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -145,10 +145,9 @@
     bool on_connection_lost(const backend_server_id& server);
 
     // Returns a command that finds out whether a silent server answers again,
-    // or nothing if none is due. Servers that `due` has commands for need none.
-    // To be called regularly for each silent server that could own keys,
-    // because no other command is sent to it. `on_reply` has to be called for
-    // it.
+    // or nothing if none is due. To be called regularly for each silent server
+    // that could own keys, because it gets no grants. `on_reply` has to be
+    // called for it.
     std::optional<grant_command> probe(
         const server_incarnation& server, time_point now);
 
@@ -173,7 +172,8 @@
     bool is_granted(fencing_token token) const;
     // Tokens that a server refused as outdated, or that it may have had in an
     // earlier incarnation. Their ranges need new tokens. The value is the
-    // owner, whose incarnation may be later than that in the table.
+    // owner, whose incarnation may be later than that in the table. Tokens of
+    // silent servers are left out, because those get no grants.
     std::map<fencing_token, server_incarnation> outdated() const;
     // Number of times at which commands to this server were not answered, since
     // its last answer. Several ranges at about the same time count once.
@@ -225,6 +225,8 @@
         // Whether the owner had accepted all of these keys with lower tokens,
         // as far as this coordinator knows.
         bool held_before = false;
+        // Whether the token must not be sent (again). The owner may have
+        // restarted since it got it.
         bool outdated = false;
     };
 
@@ -232,7 +234,7 @@
     {
         unsigned times = 0;
         time_point counted_at;
-        // A range that the last command named.
+        // First key and token of the last command.
         key_number first = 0;
         fencing_token token;
         command_number probe_in_flight;
@@ -260,8 +262,14 @@
         std::vector<grant_command>& commands);
     // Counts a command that was not answered.
     void count_silence(const open_command& command, time_point now);
-    // Whether the server owns keys of the table or may still hold some.
-    bool involved(const server_incarnation& server) const;
+    // Whether the server may still hold keys that have moved. It gets releases
+    // for them.
+    bool is_earlier_holder(const server_incarnation& server) const;
+    bool owns_keys(const server_incarnation& server) const;
+    // Returns a key whose release does no harm: one of another server if there
+    // is any.
+    key_number key_for_probe(
+        const server_incarnation& server, key_number otherwise) const;
     void on_grant_reply(range_state& state, const open_command& command,
         grant_reply reply, time_point now);
 
--- a/src/router/ownership_commands.cpp
+++ b/src/router/ownership_commands.cpp
@@ -21,9 +21,6 @@
 // Each command costs a connection or a write. The commands for all ranges after
 // a takeover would keep the coordinator from answering other instances.
 constexpr std::size_t max_commands_per_turn = 32;
-// Each probe costs a connection. The turns are at most 100 ms apart, so that
-// hundreds of silent servers are asked within seconds.
-constexpr std::size_t max_probes_per_turn = 8;
 
 // A pause of this length between the ticks of the coordinator means that its
 // event loop was delayed: time-outs are over before answers are read.
@@ -87,15 +84,15 @@
 std::size_t ownership_controller::send_commands(
     const service_id& id, service_ownership& service, time_point now)
 {
-    send_probes(id, service, now);
+    const std::size_t probes = send_probes(id, service, now);
     const auto commands =
         service.keys.granter().due(now, max_commands_per_turn);
     for (const grant_command& command : commands)
         try_send(id, service, command, now);
-    return commands.size();
+    return std::max(probes, commands.size());
 }
 
-void ownership_controller::send_probes(
+std::size_t ownership_controller::send_probes(
     const service_id& id, service_ownership& service, time_point now)
 {
     std::size_t sent = 0;
@@ -104,9 +101,10 @@
         if (!command)
             continue;
         try_send(id, service, *command, now);
-        if (++sent >= max_probes_per_turn)
-            return;
+        if (++sent >= max_commands_per_turn)
+            break;
     }
+    return sent;
 }
 
 void ownership_controller::try_send(const service_id& id,
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -124,8 +124,9 @@
     // Returns the number of commands sent.
     std::size_t send_commands(
         const service_id& id, service_ownership& service, time_point now);
-    // Asks the silent servers whether they answer again.
-    void send_probes(
+    // Asks the silent servers whether they answer again. Returns the number of
+    // commands sent.
+    std::size_t send_probes(
         const service_id& id, service_ownership& service, time_point now);
     void try_send(const service_id& id, service_ownership& service,
         const grant_command& command, time_point now);
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -245,7 +245,7 @@
     range_state& state, time_point now, std::vector<grant_command>& commands)
 {
     if (!state.earlier_holders.empty() || state.grant_in_flight != no_command ||
-        state.outdated || now < state.next_send)
+        state.outdated || now < state.next_send || silent(state.range.owner))
         return;
     last_command_ = last_command_.next();
     state.grant_in_flight = last_command_;
@@ -317,6 +317,9 @@
         state.granted_until =
             std::max(state.granted_until, state.current_token_unclear_until);
         state.next_send = std::min(state.next_send, now + options_.retry);
+        // The server may have restarted before it got the command, so that the
+        // next one could reach another incarnation than this one.
+        state.outdated = true;
         return;
     }
 }
@@ -332,19 +335,33 @@
     silence.counted_at = now;
 }
 
-bool key_granter::involved(const server_incarnation& server) const
+bool key_granter::is_earlier_holder(const server_incarnation& server) const
 {
     return std::any_of(states_.begin(), states_.end(), [&](const auto& item) {
-        const range_state& state = item.second;
-        return state.range.owner == server ||
-               std::any_of(state.earlier_holders.begin(),
-                   state.earlier_holders.end(),
-                   [&](const earlier_holder& holder) {
-                       return holder.server == server;
-                   });
+        const auto& holders = item.second.earlier_holders;
+        return std::any_of(
+            holders.begin(), holders.end(), [&](const earlier_holder& holder) {
+                return holder.server == server;
+            });
     });
 }
 
+bool key_granter::owns_keys(const server_incarnation& server) const
+{
+    return std::any_of(states_.begin(), states_.end(),
+        [&](const auto& item) { return item.second.range.owner == server; });
+}
+
+key_number key_granter::key_for_probe(
+    const server_incarnation& server, key_number otherwise) const
+{
+    for (const auto& [token, state] : states_) {
+        if (state.range.owner != server)
+            return state.range.first;
+    }
+    return otherwise;
+}
+
 // The token is below any that the server may get with keys later, and a release
 // takes away one key at most should it be carried out late.
 std::optional<grant_command> key_granter::probe(
@@ -355,17 +372,21 @@
         return std::nullopt;
     server_silence& silence = found->second;
     if (open_commands_.contains(silence.probe_in_flight) ||
-        now < silence.next_probe || involved(server))
+        now < silence.next_probe || is_earlier_holder(server))
         return std::nullopt;
-    silence.probe_delay = std::clamp(
-        silence.probe_delay * 2, options_.retry, options_.max_probe_delay);
+    // Keys of a silent owner wait for its answer.
+    silence.probe_delay = owns_keys(server)
+                              ? options_.retry
+                              : std::clamp(silence.probe_delay * 2,
+                                    options_.retry, options_.max_probe_delay);
     silence.next_probe = now + silence.probe_delay;
     last_command_ = last_command_.next();
     silence.probe_in_flight = last_command_;
     open_commands_.emplace(last_command_,
         open_command{true, server, silence.first, silence.token, {}, now});
-    return grant_command{last_command_, true, true, server, silence.first,
-        silence.first, silence.token, milliseconds(0), {}};
+    const key_number key = key_for_probe(server, silence.first);
+    return grant_command{last_command_, true, true, server, key, key,
+        silence.token, milliseconds(0), {}};
 }
 
 void key_granter::on_reply(command_number number, grant_reply reply,
--- a/src/routing/key_granter_state.cpp
+++ b/src/routing/key_granter_state.cpp
@@ -53,7 +53,7 @@
 {
     std::map<fencing_token, server_incarnation> result;
     for (const auto& [token, state] : states_) {
-        if (state.outdated)
+        if (state.outdated && !silent(state.range.owner))
             result.emplace(token, state.range.owner);
     }
     return result;
