Read the lease again also while there is none

Cause: after a failed write, the lease is read before the next one. This read was asked for only with a known record, and the watch reports nothing if nothing has changed, so that no process tried again.

Change: the read is made whenever one is due, after the first one, which the watch makes. Without a record the retry is spread by the random delay of each process. Counting on the watch was ruled out: it goes on from its revision.

--- a/include/filberthub/routing/coordinator_lease.hpp
+++ b/include/filberthub/routing/coordinator_lease.hpp
@@ -174,6 +174,11 @@
     {
         return needs_read_;
     }
+    // Whether the object was read at least once, though it may not exist.
+    bool has_read() const
+    {
+        return has_read_;
+    }
 
     // Whether the retry delay after the last failed write has passed.
     bool may_retry(time_point now) const
--- a/src/router/fleet_lease.cpp
+++ b/src/router/fleet_lease.cpp
@@ -142,7 +142,8 @@
     // another process would fail as well.
     if (!lease_.is_holder() && store_.lease_watch_failing())
         return;
-    if (lease_.needs_read() && lease_.record() && !lease_read_open_ &&
+    // The watch reads the lease for the first time.
+    if (lease_.needs_read() && lease_.has_read() && !lease_read_open_ &&
         lease_.may_retry(now)) {
         read_lease();
         return;
--- a/src/routing/coordinator_lease.cpp
+++ b/src/routing/coordinator_lease.cpp
@@ -333,6 +333,9 @@
     write_uncertain_ = true;
     needs_read_ = true;
     retry_at_ = now + options_.retry;
+    // All processes try to create the first lease at about the same time.
+    if (!record_)
+        retry_at_ += options_.takeover_jitter;
 }
 
 } // namespace filberthub
--- a/test/router/fake_platform.hpp
+++ b/test/router/fake_platform.hpp
@@ -139,6 +139,18 @@
         failing_ = failing;
     }
 
+    // Whether calls that change an object are answered with status 503.
+    void set_read_only(bool read_only)
+    {
+        read_only_ = read_only;
+    }
+
+    // Number of calls that would have changed an object.
+    std::size_t refused_changes() const
+    {
+        return refused_changes_;
+    }
+
 private:
     http_response make_response(int status, const json& body) const
     {
@@ -250,7 +262,9 @@
             unanswered_.push_back(std::move(exchange));
             return;
         }
-        if (failing_) {
+        const bool refused = read_only_ && request.method != "GET";
+        refused_changes_ += refused ? 1 : 0;
+        if (failing_ || refused) {
             exchange->respond(make_response(503, json::object()));
             return;
         }
@@ -319,6 +333,8 @@
     std::vector<open_watch> watches_;
     std::uint64_t revision_ = 100;
     bool failing_ = false;
+    bool read_only_ = false;
+    std::size_t refused_changes_ = 0;
     bool silent_ = false;
     std::vector<std::shared_ptr<http_exchange>> unanswered_;
     std::string epoch_;
--- a/test/router/fleet_role_test.cpp
+++ b/test/router/fleet_role_test.cpp
@@ -71,6 +71,23 @@
     int failing_requests_ = 0;
 };
 
+// Guards against a fleet that never gets a coordinator: the store fails between
+// the first read of the lease, which does not exist yet, and its creation.
+TEST_F(fleet_role_test, TakesTheFirstLeaseAfterAnOutageOfTheStore)
+{
+    store_.remove("filberthub-lease", "coordinator");
+    store_.set_read_only(true);
+    deployment_view view(settings_);
+    metric_registry metrics;
+    fleet_role role(
+        settings_, view, metrics, [] { return load_counts{}; }, now);
+    ASSERT_TRUE(
+        run_ticks_until(role, [&] { return store_.refused_changes() > 0; }));
+    EXPECT_FALSE(role.lease().record());
+    store_.set_read_only(false);
+    EXPECT_TRUE(run_ticks_until(role, [&] { return role.coordinates(now()); }));
+}
+
 // Guards against keys of lost servers that wait for the whole lease of an
 // earlier coordinator, because one request to it failed.
 TEST_F(fleet_role_test, AsksTheEarlierCoordinatorToStopUntilItAnswers)
