Try servers again that were slow

Change: the expected time returns to the mean of the service with a time constant of 5 s after the last answer. A share of requests for slow servers was ruled out: it sends more to them than one request every few seconds.

Test: ReturnsToAServerThatWasSlow; 0 requests in the 50 s after the recovery before, 100 or more now, and 10 at most in the 10 s while it is slow.

--- a/include/filberthub/routing/service_time_tracker.hpp
+++ b/include/filberthub/routing/service_time_tracker.hpp
@@ -30,7 +30,8 @@
 
 // Tracks the mean service time per service and the slowdown of each server. The
 // estimate returns from the last reported slowdown to the typical slowdown of
-// the server within a fraction of a second, as reports become outdated.
+// the server within a fraction of a second, and to the mean of the service
+// within seconds, as reports become outdated.
 class service_time_tracker
 {
 public:
--- a/src/routing/service_time_tracker.cpp
+++ b/src/routing/service_time_tracker.cpp
@@ -17,6 +17,9 @@
 constexpr double slowdown_smoothing = 0.05;
 // Time constant of the return from the latest to the typical slowdown.
 constexpr double slowdown_decay_ms = 300;
+// Time constant of the return from the typical slowdown to that of the service,
+// so that a slow server that gets no requests is tried again.
+constexpr double typical_decay_ms = 5'000;
 // The first samples are weighted more, so that a fast server is recognized
 // early.
 constexpr unsigned initial_samples = 10;
@@ -90,9 +93,10 @@
     const double age_ms =
         std::chrono::duration<double, std::milli>(now - state.updated_at)
             .count();
-    const double slowdown =
-        state.typical +
-        (state.latest - state.typical) * std::exp(-age_ms / slowdown_decay_ms);
+    const double typical =
+        1 + (state.typical - 1) * std::exp(-age_ms / typical_decay_ms);
+    const double slowdown = typical + (state.latest - state.typical) *
+                                          std::exp(-age_ms / slowdown_decay_ms);
     return mean_ms(service) * slowdown;
 }
 
--- a/test/routing/gate_selection_test.cpp
+++ b/test/routing/gate_selection_test.cpp
@@ -91,5 +91,30 @@
     }
 }
 
+// Guards against a server that stays without requests because it was slow once:
+// while others are free it gets none, and so it cannot show that it has
+// recovered.
+TEST_F(GateSelection, ReturnsToAServerThatWasSlow)
+{
+    put("s1", 2);
+    put("s2", 2);
+    const std::int64_t recovered_at = 10'000;
+    unsigned sent_while_slow = 0;
+    unsigned sent_afterwards = 0;
+    for (std::uint64_t number = 0; number < 600; ++number) {
+        const std::int64_t ms = static_cast<std::int64_t>(number) * 100;
+        const gate_decision decision = request_slot(number, ms).at(0);
+        ASSERT_EQ(decision.decision, slot_decision::granted);
+        const bool slow = decision.server.value() == "s2" && ms < recovered_at;
+        const double slowdown = slow ? 8 : 1;
+        finish(number, ms + 20, {0, 0, 2, slowdown},
+            milliseconds(static_cast<std::int64_t>(20 * slowdown)));
+        if (decision.server.value() == "s2")
+            ++(ms < recovered_at ? sent_while_slow : sent_afterwards);
+    }
+    EXPECT_LE(sent_while_slow, 10U);
+    EXPECT_GE(sent_afterwards, 100U);
+}
+
 } // namespace
 } // namespace filberthub
