Move the silence of servers into a file of its own

The functions of key_granter that count and probe silent servers stand in key_granter_silence.cpp. Commands are built with designated initializers. The probe needs no key of an earlier command. No behaviour changes but that key 0 is named if the silent server owns all keys.

--- a/include/filberthub/routing/key_granter.hpp
+++ b/include/filberthub/routing/key_granter.hpp
@@ -26,8 +26,8 @@
     command_number number;
     // Whether the server must release the keys; otherwise they are granted.
     bool release = false;
-    // Whether the command only finds out if the server answers. It releases a
-    // key that the server does not hold.
+    // Whether the command only finds out if the server answers. It is a release
+    // of a key that the server does not own, if there is one.
     bool probe = false;
     server_incarnation server;
     key_number first = 0;
@@ -75,7 +75,8 @@
     // doubles from `retry` on. A server that answers again waits this long for
     // keys at most.
     milliseconds max_probe_delay{2'000};
-    // A server that was sent nothing for this time is no longer silent.
+    // A server that has left no further command unanswered for this time is no
+    // longer silent, for example because it is gone and not probed.
     milliseconds silence_memory{60'000};
 
     // Longest time for which a grant may be valid after it was sent.
@@ -234,8 +235,7 @@
     {
         unsigned times = 0;
         time_point counted_at;
-        // First key and token of the last command.
-        key_number first = 0;
+        // Token of the last command.
         fencing_token token;
         command_number probe_in_flight;
         milliseconds probe_delay{0};
@@ -246,7 +246,6 @@
     {
         bool release = false;
         server_incarnation server;
-        key_number first = 0;
         fencing_token token;
         // End of the owner's grant before this command.
         time_point granted_until_before;
@@ -266,10 +265,8 @@
     // for them.
     bool is_earlier_holder(const server_incarnation& server) const;
     bool owns_keys(const server_incarnation& server) const;
-    // Returns a key whose release does no harm: one of another server if there
-    // is any.
-    key_number key_for_probe(
-        const server_incarnation& server, key_number otherwise) const;
+    // Returns a key that the server does not own, if there is one.
+    key_number key_for_probe(const server_incarnation& server) const;
     void on_grant_reply(range_state& state, const open_command& command,
         grant_reply reply, time_point now);
 
--- a/src/router/ownership_controller.hpp
+++ b/src/router/ownership_controller.hpp
@@ -128,6 +128,7 @@
     // commands sent.
     std::size_t send_probes(
         const service_id& id, service_ownership& service, time_point now);
+    // Sends a command, or reports it as unanswered if that is not possible.
     void try_send(const service_id& id, service_ownership& service,
         const grant_command& command, time_point now);
     void send_command(const service_id& id, const grant_command& command);
--- a/src/routing/key_granter.cpp
+++ b/src/routing/key_granter.cpp
@@ -233,11 +233,14 @@
         }
         last_command_ = last_command_.next();
         holder.release_in_flight = last_command_;
-        open_commands_.emplace(
-            last_command_, open_command{true, holder.server, holder.first,
-                               holder.token, {}, now});
-        commands.push_back({last_command_, true, false, holder.server,
-            holder.first, holder.last, holder.token, milliseconds(0), {}});
+        open_commands_.emplace(last_command_,
+            open_command{true, holder.server, holder.token, {}, now});
+        commands.push_back({.number = last_command_,
+            .release = true,
+            .server = holder.server,
+            .first = holder.first,
+            .last = holder.last,
+            .token = holder.token});
     }
 }
 
@@ -251,14 +254,17 @@
     state.grant_in_flight = last_command_;
     state.next_send = now + options_.renewal;
     open_commands_.emplace(
-        last_command_, open_command{false, state.range.owner, state.range.first,
-                           state.range.token, state.granted_until, now});
+        last_command_, open_command{false, state.range.owner, state.range.token,
+                           state.granted_until, now});
     state.granted_until =
         std::max(state.granted_until, now + options_.max_grant_duration());
-    commands.push_back(
-        {last_command_, false, false, state.range.owner, state.range.first,
-            state.range.last, state.range.token, options_.grant_duration,
-            state.accepted ? key_handover() : state.handover});
+    commands.push_back({.number = last_command_,
+        .server = state.range.owner,
+        .first = state.range.first,
+        .last = state.range.last,
+        .token = state.range.token,
+        .grant_duration = options_.grant_duration,
+        .handover = state.accepted ? key_handover() : state.handover});
 }
 
 std::vector<grant_command> key_granter::due(time_point now, std::size_t limit)
@@ -324,71 +330,6 @@
     }
 }
 
-void key_granter::count_silence(const open_command& command, time_point now)
-{
-    server_silence& silence = unanswered_[command.server];
-    silence.first = command.first;
-    silence.token = command.token;
-    if (silence.times > 0 && now < silence.counted_at + options_.retry)
-        return;
-    ++silence.times;
-    silence.counted_at = now;
-}
-
-bool key_granter::is_earlier_holder(const server_incarnation& server) const
-{
-    return std::any_of(states_.begin(), states_.end(), [&](const auto& item) {
-        const auto& holders = item.second.earlier_holders;
-        return std::any_of(
-            holders.begin(), holders.end(), [&](const earlier_holder& holder) {
-                return holder.server == server;
-            });
-    });
-}
-
-bool key_granter::owns_keys(const server_incarnation& server) const
-{
-    return std::any_of(states_.begin(), states_.end(),
-        [&](const auto& item) { return item.second.range.owner == server; });
-}
-
-key_number key_granter::key_for_probe(
-    const server_incarnation& server, key_number otherwise) const
-{
-    for (const auto& [token, state] : states_) {
-        if (state.range.owner != server)
-            return state.range.first;
-    }
-    return otherwise;
-}
-
-// The token is below any that the server may get with keys later, and a release
-// takes away one key at most should it be carried out late.
-std::optional<grant_command> key_granter::probe(
-    const server_incarnation& server, time_point now)
-{
-    const auto found = unanswered_.find(server);
-    if (found == unanswered_.end() || !silent(server))
-        return std::nullopt;
-    server_silence& silence = found->second;
-    if (open_commands_.contains(silence.probe_in_flight) ||
-        now < silence.next_probe || is_earlier_holder(server))
-        return std::nullopt;
-    // Keys of a silent owner wait for its answer.
-    silence.probe_delay = owns_keys(server)
-                              ? options_.retry
-                              : std::clamp(silence.probe_delay * 2,
-                                    options_.retry, options_.max_probe_delay);
-    silence.next_probe = now + silence.probe_delay;
-    last_command_ = last_command_.next();
-    silence.probe_in_flight = last_command_;
-    open_commands_.emplace(last_command_,
-        open_command{true, server, silence.first, silence.token, {}, now});
-    const key_number key = key_for_probe(server, silence.first);
-    return grant_command{last_command_, true, true, server, key, key,
-        silence.token, milliseconds(0), {}};
-}
-
 void key_granter::on_reply(command_number number, grant_reply reply,
     const key_handover& handover, time_point now)
 {
