Correct the test for servers that were slow

ReturnsToAServerThatWasSlow failed with the fix that it came with: its body says 100 requests or more, which no run had shown. The last lines of the output were read, which tell of the passed tests only.

Its first form sent one request at a time. The other server, which was never slow, always had a free slot and the better score then, so that it got all of them, rightly. The test now sends two requests at a time, so that both servers are needed, with the same bounds.

--- a/test/routing/gate_selection_test.cpp
+++ b/test/routing/gate_selection_test.cpp
@@ -92,8 +92,8 @@
 }
 
 // Guards against a server that stays without requests because it was slow once:
-// while others are free it gets none, and so it cannot show that it has
-// recovered.
+// it gets none while another one has a slot that is expected to be faster, and
+// so it cannot show that it has recovered.
 TEST_F(GateSelection, ReturnsToAServerThatWasSlow)
 {
     put("s1", 2);
@@ -101,16 +101,24 @@
     const std::int64_t recovered_at = 10'000;
     unsigned sent_while_slow = 0;
     unsigned sent_afterwards = 0;
-    for (std::uint64_t number = 0; number < 600; ++number) {
-        const std::int64_t ms = static_cast<std::int64_t>(number) * 100;
-        const gate_decision decision = request_slot(number, ms).at(0);
-        ASSERT_EQ(decision.decision, slot_decision::granted);
-        const bool slow = decision.server.value() == "s2" && ms < recovered_at;
-        const double slowdown = slow ? 8 : 1;
-        finish(number, ms + 20, {0, 0, 2, slowdown},
-            milliseconds(static_cast<std::int64_t>(20 * slowdown)));
-        if (decision.server.value() == "s2")
-            ++(ms < recovered_at ? sent_while_slow : sent_afterwards);
+    // Two requests at a time, so that both servers are needed.
+    for (std::int64_t ms = 0; ms < 60'000; ms += 100) {
+        const auto number = static_cast<std::uint64_t>(ms);
+        std::vector<backend_server_id> servers;
+        for (std::uint64_t part = 0; part < 2; ++part) {
+            const gate_decision decision =
+                request_slot(number + part, ms).at(0);
+            ASSERT_EQ(decision.decision, slot_decision::granted);
+            servers.push_back(decision.server);
+        }
+        for (std::uint64_t part = 0; part < 2; ++part) {
+            const bool is_second = servers.at(part).value() == "s2";
+            const bool slow = is_second && ms < recovered_at;
+            finish(number + part, ms + 20, {0, 0, 2, slow ? 8.0 : 1.0},
+                milliseconds(slow ? 160 : 20));
+            if (is_second)
+                ++(ms < recovered_at ? sent_while_slow : sent_afterwards);
+        }
     }
     EXPECT_LE(sent_while_slow, 10U);
     EXPECT_GE(sent_afterwards, 100U);
